--- a/apps/comfreydrumd/src/createContainer.ts
+++ b/apps/comfreydrumd/src/createContainer.ts
@@ -7,7 +7,7 @@
 import * as groups from '@comfreydrum/groups';
 import * as ledger from '@comfreydrum/ledger';
 import * as peers from '@comfreydrum/peers';
-import * as platform from '@comfreydrum/platform';
+import * as objectStore from '@comfreydrum/object-store';
 import * as routing from '@comfreydrum/routing';
 import * as settings from '@comfreydrum/settings';
 import * as telemetry from '@comfreydrum/telemetry';
@@ -43,12 +43,12 @@
 
 const createPlatform = (container: tsyringe.DependencyContainer) => {
   const daemonSettings = container.resolve(tokens.settings);
-  const inner = platform.createHttpPlatformClient({
+  const inner = objectStore.createHttpPlatformClient({
     url: daemonSettings.platform.url,
     callTimeoutMs: daemonSettings.platform.callTimeoutMs,
     localAddress: daemonSettings.outbound.localAddress,
   });
-  return platform.createBudgetedPlatformClient(inner, {
+  return objectStore.createBudgetedPlatformClient(inner, {
     clock: container.resolve(tokens.clock),
     random: container.resolve(tokens.random),
     readsPerSecond: daemonSettings.platform.readsPerSecond,
--- a/apps/comfreydrumd/src/tokens.ts
+++ b/apps/comfreydrumd/src/tokens.ts
@@ -5,7 +5,7 @@
 import type * as ledger from '@comfreydrum/ledger';
 import type * as lifecycle from '@comfreydrum/lifecycle';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type * as routing from '@comfreydrum/routing';
 import type * as settings from '@comfreydrum/settings';
 import type * as telemetry from '@comfreydrum/telemetry';
@@ -28,7 +28,7 @@
   log: createToken<telemetry.Log>('log'),
   metrics: createToken<telemetry.Metrics>('metrics'),
   timeline: createToken<telemetry.Timeline>('timeline'),
-  platform: createToken<platform.BudgetedPlatformClient>('platform'),
+  platform: createToken<objectStore.BudgetedPlatformClient>('platform'),
   peers: createToken<peers.Peers>('peers'),
   configuration: createToken<configuration.ConfigurationKeeper>('configuration'),
   groups: createToken<groups.Groups>('groups'),
--- a/packages/admin/src/DaemonStatus.ts
+++ b/packages/admin/src/DaemonStatus.ts
@@ -1,6 +1,6 @@
 import type * as groups from '@comfreydrum/groups';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 
 /** The state of one daemon. */
 export interface DaemonStatus {
@@ -16,7 +16,7 @@
   readonly peers: readonly { readonly instanceId: string; readonly state: string }[];
   /** What this daemon sent to the others and received, since its start. */
   readonly peerStatistics: peers.PeerStatistics;
-  readonly platform: platform.PlatformStatistics;
+  readonly platform: objectStore.PlatformStatistics;
   /** For how long this daemon has held the platform for down; null when it does not. */
   readonly platformOutageMs: number | null;
   readonly memoryBytes: number;
--- a/packages/configuration/src/createApply.ts
+++ b/packages/configuration/src/createApply.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import { checkConfiguration } from './checkConfiguration';
 import type { ApplyOptions, ApplyResult, ExpectedRevision } from './ConfigurationStore';
 import type { Configuration } from './configurationSchema';
@@ -12,7 +12,7 @@
 
 /** What an apply needs. */
 export interface ApplySurroundings {
-  readonly client: platform.PlatformClient;
+  readonly client: objectStore.PlatformClient;
   readonly clock: clock.Clock;
   readonly hash: (text: string) => string;
   readonly createId: () => string;
@@ -27,7 +27,7 @@
   readonly revision: number;
   readonly document: Configuration | null;
   readonly applyIds: readonly string[];
-  readonly condition: platform.WriteCondition;
+  readonly condition: objectStore.WriteCondition;
 }
 
 interface Change {
@@ -36,7 +36,7 @@
   readonly applyId: string;
 }
 
-type BaseResult = errors.Result<Base, platform.PlatformFailure>;
+type BaseResult = errors.Result<Base, objectStore.PlatformFailure>;
 
 const deadlineMs = 20_000;
 const firstRetryMs = 100;
@@ -68,7 +68,7 @@
     const checked = storedRevisionSchema.safeParse(found.value.value);
     const condition = { version: found.value.version };
     if (checked.success) return errors.ok({ ...checked.data, condition });
-    return errors.err<platform.PlatformFailure>({
+    return errors.err<objectStore.PlatformFailure>({
       kind: 'refused',
       step: 'read configuration',
       peer: `${configurationKind}/${team}`,
--- a/packages/configuration/src/createConfigurationStore.test.ts
+++ b/packages/configuration/src/createConfigurationStore.test.ts
@@ -2,7 +2,7 @@
 import * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as telemetry from '@comfreydrum/telemetry';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -35,12 +35,12 @@
   }
 };
 
-const failure = (kind: platform.PlatformFailure['kind']) =>
-  errors.err<platform.PlatformFailure>({ kind, step: 'test', peer: 'platform', message: kind });
+const failure = (kind: objectStore.PlatformFailure['kind']) =>
+  errors.err<objectStore.PlatformFailure>({ kind, step: 'test', peer: 'platform', message: kind });
 
 /** The object API in memory, with faults on demand. */
 const createFakePlatform = () => {
-  const objects = new Map<string, platform.StoredObject>();
+  const objects = new Map<string, objectStore.StoredObject>();
   let version = 0;
   let down = false;
   let hangMs = 0;
@@ -53,7 +53,11 @@
       setTimeout(resolve, down ? hangMs : 0);
     });
 
-  const write = (key: platform.ObjectKey, value: unknown, condition: platform.WriteCondition) => {
+  const write = (
+    key: objectStore.ObjectKey,
+    value: unknown,
+    condition: objectStore.WriteCondition,
+  ) => {
     const known = objects.get(key.name);
     const expected = condition === 'absent' ? undefined : condition.version;
     if (known?.version !== expected) return failure('conflict');
@@ -62,7 +66,7 @@
     return errors.ok(version);
   };
 
-  const client = (isCut: () => boolean): platform.PlatformClient => ({
+  const client = (isCut: () => boolean): objectStore.PlatformClient => ({
     get: async (key) => {
       await tick();
       if (down || isCut()) return failure('unreachable');
@@ -116,7 +120,7 @@
       beforeWrite = listener;
     },
     /** Sets an object back to an older copy, as a restored platform does. */
-    restore: (name: string, object: platform.StoredObject) => {
+    restore: (name: string, object: objectStore.StoredObject) => {
       version += 1;
       objects.set(name, { ...object, version });
     },
--- a/packages/configuration/src/createConfigurationStore.ts
+++ b/packages/configuration/src/createConfigurationStore.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleepFor } from 'node:timers/promises';
 import type * as clock from '@comfreydrum/clock';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import createHasher from 'xxhash-wasm';
 import type { ConfigurationKeeper } from './ConfigurationStore';
@@ -16,7 +16,7 @@
 
 /** What the store of one instance needs. */
 export interface ConfigurationStoreOptions {
-  readonly platform: platform.PlatformClient;
+  readonly platform: objectStore.PlatformClient;
   readonly peers: Pick<peers.Peers, 'membership' | 'news' | 'calls' | 'beacon'>;
   readonly clock: clock.Clock;
   readonly log: telemetry.Log;
--- a/packages/configuration/src/createPlatformWatch.test.ts
+++ b/packages/configuration/src/createPlatformWatch.test.ts
@@ -1,5 +1,5 @@
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { createFreshnessProof } from './createFreshnessProof';
@@ -32,7 +32,7 @@
         ? errors.err({ kind: 'expired', step: 'watch', peer: 'platform', message: 'expired' })
         : errors.ok({ version: 9, changed: [], deletedNames: [] });
     },
-  } as unknown as platform.PlatformClient;
+  } as unknown as objectStore.PlatformClient;
   const watch = createPlatformWatch({
     client,
     membership: {
--- a/packages/configuration/src/createPlatformWatch.ts
+++ b/packages/configuration/src/createPlatformWatch.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import { configurationKind } from './createApply';
 import type { FreshnessProof } from './createFreshnessProof';
 import { storedRevisionSchema, type TeamRevision } from './TeamRevision';
@@ -16,7 +16,7 @@
 
 /** What following needs. */
 export interface PlatformWatchOptions {
-  readonly client: platform.PlatformClient;
+  readonly client: objectStore.PlatformClient;
   readonly membership: peers.Membership;
   readonly clock: clock.Clock;
   readonly proof: FreshnessProof;
@@ -58,7 +58,7 @@
   let mustList = false;
   let failures = 0;
 
-  const read = (objects: readonly platform.StoredObject[]): readonly TeamRevision[] =>
+  const read = (objects: readonly objectStore.StoredObject[]): readonly TeamRevision[] =>
     objects.flatMap(({ name, value }) => {
       const checked = storedRevisionSchema.safeParse(value);
       if (!checked.success) {
--- a/packages/groups/src/ListNews.ts
+++ b/packages/groups/src/ListNews.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as zod from 'zod';
 
 /** Begins the keys of all news on the platform's list of targets. */
@@ -34,7 +34,7 @@
 type EntryRow = zod.infer<typeof entryRowSchema>;
 
 /** Turns an entry into the row that travels. */
-export const toEntryRow = (entry: platform.ListedInstance | undefined): EntryRow =>
+export const toEntryRow = (entry: objectStore.ListedInstance | undefined): EntryRow =>
   entry === undefined
     ? null
     : [
@@ -48,7 +48,10 @@
       ];
 
 /** Turns a checked row back into an entry; undefined for one that is gone. */
-export const toEntry = (instanceId: string, row: EntryRow): platform.ListedInstance | undefined => {
+export const toEntry = (
+  instanceId: string,
+  row: EntryRow,
+): objectStore.ListedInstance | undefined => {
   if (row === null) return undefined;
   const [url, targetKind, region, failureDomain, fabricDomain, acceleratorCount, state] = row;
   return {
--- a/packages/groups/src/createControl.ts
+++ b/packages/groups/src/createControl.ts
@@ -1,7 +1,7 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as configuration from '@comfreydrum/configuration';
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import { createController } from './createController';
 import type { Decisions } from './createDecisions';
@@ -30,7 +30,7 @@
   readonly log: telemetry.Log;
   readonly timeline: telemetry.Timeline;
   readonly configuration: configuration.ConfigurationStore;
-  readonly platform: platform.PlatformClient;
+  readonly platform: objectStore.PlatformClient;
   readonly records: Records;
   /** Names this run of the daemon. */
   readonly writer: string;
--- a/packages/groups/src/createDomainOrders.ts
+++ b/packages/groups/src/createDomainOrders.ts
@@ -1,5 +1,5 @@
 import type * as configuration from '@comfreydrum/configuration';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type { Orders } from './createOrders';
 import type { OrderWindow } from './createOrderWindow';
 import { dueOrders, type Order } from './dueOrders';
@@ -19,7 +19,7 @@
 /** What orders are derived from and sent with. */
 export interface DomainOrdersOptions {
   readonly configuration: configuration.ConfigurationStore;
-  readonly listed: () => readonly platform.ListedInstance[];
+  readonly listed: () => readonly objectStore.ListedInstance[];
   readonly observe: Observe;
   readonly orders: Orders;
   readonly window: OrderWindow;
--- a/packages/groups/src/createFleetView.ts
+++ b/packages/groups/src/createFleetView.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as configuration from '@comfreydrum/configuration';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type { ModelPlan } from './advanceDomain';
 import type { KnownGroup } from './createDirectory';
 import { loadedVersion } from './FabricDomainRecord';
@@ -13,14 +13,14 @@
 
 /** What this daemon knows of the instances: the platform's list and the watchers' words. */
 export interface FleetView {
-  readonly setListed: (listed: readonly platform.ListedInstance[]) => void;
-  readonly listed: () => readonly platform.ListedInstance[];
+  readonly setListed: (listed: readonly objectStore.ListedInstance[]) => void;
+  readonly listed: () => readonly objectStore.ListedInstance[];
   /** Takes in a watcher's word on a fabric domain. */
   readonly onWord: (fabricDomain: string, word: PresenceNews) => void;
   /** Whether the platform's list calls an instance leaving. */
   readonly isListedLeaving: (instanceId: string) => boolean;
   /** Tells what an instance is, by the list and the latest word of a watcher. */
-  readonly conditionOf: (instance: platform.ListedInstance) => PlacementInstance['state'];
+  readonly conditionOf: (instance: objectStore.ListedInstance) => PlacementInstance['state'];
   readonly placementState: (groups: readonly KnownGroup[]) => PlacementState;
   readonly modelPlans: () => ReadonlyMap<string, ModelPlan>;
 }
@@ -42,7 +42,7 @@
   clock: clock.Clock,
   store: configuration.ConfigurationStore,
 ): FleetView => {
-  let listed: readonly platform.ListedInstance[] = [];
+  let listed: readonly objectStore.ListedInstance[] = [];
   const words = new Map<string, { readonly word: PresenceNews; readonly atMs: number }>();
   const saidLeavingAtMs = new Map<string, number>();
   let listedLeaving: ReadonlySet<string> = new Set();
@@ -78,7 +78,7 @@
     return state === 'leaving' || isSaidLeaving ? 'leaving' : 'present';
   };
 
-  const placementInstance = (instance: platform.ListedInstance): PlacementInstance => {
+  const placementInstance = (instance: objectStore.ListedInstance): PlacementInstance => {
     const absence = absences.get(instance.instanceId);
     const { instanceId, targetKind, fabricDomain, failureDomain, acceleratorCount } = instance;
     return {
--- a/packages/groups/src/createGroups.ts
+++ b/packages/groups/src/createGroups.ts
@@ -3,7 +3,7 @@
 import type * as configuration from '@comfreydrum/configuration';
 import type * as lifecycle from '@comfreydrum/lifecycle';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import { createArrivalClock } from './createArrivalClock';
 import { createControl } from './createControl';
@@ -30,7 +30,7 @@
 /** What the groups of a daemon are built from. */
 export interface GroupsOptions {
   readonly configuration: configuration.ConfigurationStore;
-  readonly platform: platform.PlatformClient;
+  readonly platform: objectStore.PlatformClient;
   readonly membership: peers.Membership;
   readonly news: peers.News;
   readonly calls: peers.PeerCalls;
--- a/packages/groups/src/createListFollower.test.ts
+++ b/packages/groups/src/createListFollower.test.ts
@@ -1,7 +1,7 @@
 import * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { createListFollower, listTickMs } from './createListFollower';
@@ -10,8 +10,8 @@
 
 const entryOf = (
   instanceId: string,
-  state: platform.ListedInstance['state'] = 'live',
-): platform.ListedInstance => ({
+  state: objectStore.ListedInstance['state'] = 'live',
+): objectStore.ListedInstance => ({
   instanceId,
   url: `http://${instanceId}`,
   targetKind: 'engine',
@@ -35,7 +35,7 @@
   const listeners = new Map<string, (item: peers.NewsItem) => void>();
   const daemons = roles.map((role, index) => {
     const origin = `entry-${index}`;
-    let listed: readonly platform.ListedInstance[] = [];
+    let listed: readonly objectStore.ListedInstance[] = [];
     let readCount = 0;
     const follower = createListFollower({
       clock: manual,
@@ -82,7 +82,7 @@
     daemons,
     manual,
     pass,
-    setList: (next: platform.ListedInstance[]) => {
+    setList: (next: objectStore.ListedInstance[]) => {
       list = next;
     },
     setReadersOut: (out: boolean) => {
@@ -94,7 +94,7 @@
   };
 };
 
-const idsOf = (list: readonly platform.ListedInstance[]) =>
+const idsOf = (list: readonly objectStore.ListedInstance[]) =>
   list.map(({ instanceId, state }) => `${instanceId} ${state}`).sort();
 
 test('lets only readers read while they speak', async () => {
--- a/packages/groups/src/createListFollower.ts
+++ b/packages/groups/src/createListFollower.ts
@@ -2,7 +2,7 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as errors from '@comfreydrum/errors';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import {
   digestSchema,
   entryKeyOf,
@@ -13,7 +13,7 @@
   toEntryRow,
 } from './ListNews';
 
-type List = readonly platform.ListedInstance[];
+type List = readonly objectStore.ListedInstance[];
 
 /** Keeps the platform's list of targets, which few daemons read and tell the others. */
 export interface ListFollower {
@@ -27,7 +27,7 @@
 export interface ListFollowerOptions {
   readonly clock: clock.Clock;
   readonly news: peers.News;
-  readonly read: () => Promise<errors.Result<List, platform.PlatformFailure>>;
+  readonly read: () => Promise<errors.Result<List, objectStore.PlatformFailure>>;
   readonly listed: () => List;
   readonly setListed: (list: List) => void;
   /** Gives 0 for the daemon that reads the list for all, 1 for its stand-by. */
@@ -69,15 +69,15 @@
 const byId = (list: List) => new Map(list.map((entry) => [entry.instanceId, entry]));
 
 const isSame = (
-  one: platform.ListedInstance | undefined,
-  other: platform.ListedInstance | undefined,
+  one: objectStore.ListedInstance | undefined,
+  other: objectStore.ListedInstance | undefined,
 ) => JSON.stringify(toEntryRow(one)) === JSON.stringify(toEntryRow(other));
 
 /** Creates a follower that has no list yet and reads it at its first tick. */
 export const createListFollower = (options: ListFollowerOptions): ListFollower => {
   const { clock, news, listed } = options;
   const leavingToldAtMs = new Map<string, number>();
-  let seen: ReadonlyMap<string, platform.ListedInstance> | undefined;
+  let seen: ReadonlyMap<string, objectStore.ListedInstance> | undefined;
   let digested: { readonly list: List; readonly digest: string } | undefined;
   let isReading = false;
   let hasList = false;
--- a/packages/groups/src/createRecords.ts
+++ b/packages/groups/src/createRecords.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import {
   emptyFabricDomain,
@@ -36,7 +36,7 @@
 
 /** What the records need; `pauseMs` spreads the calls of many daemons. */
 export interface RecordsOptions {
-  readonly platform: platform.PlatformClient;
+  readonly platform: objectStore.PlatformClient;
   readonly log: telemetry.Log;
   readonly pauseMs: () => number;
   readonly sleep: (durationMs: number, signal: AbortSignal) => Promise<void>;
@@ -54,7 +54,7 @@
   const records = new Map<string, VersionedRecord>();
   let isLoaded = false;
 
-  const take = ({ name, version, value }: platform.StoredObject) => {
+  const take = ({ name, version, value }: objectStore.StoredObject) => {
     if (version <= (records.get(name)?.version ?? 0)) return;
     const checked = fabricDomainSchema.safeParse(value);
     if (checked.success) records.set(name, { version, record: checked.data });
--- a/packages/groups/src/createWatcher.ts
+++ b/packages/groups/src/createWatcher.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type { VersionedRecord } from './createRecords';
 import type { Prober } from './createProber';
 import { judgeGroup, silentAfterMs, type Observe } from './judgeGroup';
@@ -25,7 +25,7 @@
   readonly prober: Prober;
   /** Names this run of the daemon. */
   readonly sender: string;
-  readonly listed: () => readonly platform.ListedInstance[];
+  readonly listed: () => readonly objectStore.ListedInstance[];
   readonly record: (fabricDomain: string) => VersionedRecord;
   /** Whether the domain's first watcher lately said as much, so that this one need not. */
   readonly isCovered: (fabricDomain: string, word: PresenceNews) => boolean;
--- a/packages/groups/src/describeStatus.ts
+++ b/packages/groups/src/describeStatus.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type { GroupAt } from './createEvidence';
 import type { KnownGroup } from './createDirectory';
 import type { GroupMember } from './GroupDirectory';
@@ -37,8 +37,8 @@
 /** What a status is computed from. */
 export interface StatusOptions {
   readonly groups: readonly KnownGroup[];
-  readonly listed: readonly platform.ListedInstance[];
-  readonly conditionOf: (instance: platform.ListedInstance) => PlacementInstance['state'];
+  readonly listed: readonly objectStore.ListedInstance[];
+  readonly conditionOf: (instance: objectStore.ListedInstance) => PlacementInstance['state'];
   readonly evidenceAgeMs: (group: GroupAt) => number;
   readonly maySend: (group: GroupAt) => boolean;
 }
--- a/packages/groups/src/loads/claimSlots.ts
+++ b/packages/groups/src/loads/claimSlots.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type { FabricDomainRecord } from '../FabricDomainRecord';
 import { fitsBeside, sumBytesPerSecond } from './createTurns';
 import type { Load } from './orderLoads';
@@ -12,7 +12,7 @@
 
 /** Which slots are wanted, and what is known of those that others hold. */
 export interface Claim {
-  readonly platform: platform.PlatformClient;
+  readonly platform: objectStore.PlatformClient;
   readonly records: ReadonlyMap<string, FabricDomainRecord>;
   readonly team: string;
   readonly storeBytesPerSecond: number;
@@ -31,7 +31,7 @@
 }
 
 interface Known {
-  readonly condition: platform.WriteCondition;
+  readonly condition: objectStore.WriteCondition;
   readonly slots: WeightStoreRecord['slots'];
 }
 
--- a/packages/groups/src/loads/createLoadSlots.ts
+++ b/packages/groups/src/loads/createLoadSlots.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as configuration from '@comfreydrum/configuration';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { FabricDomainRecord } from '../FabricDomainRecord';
 import { createTurns } from './createTurns';
@@ -19,7 +19,7 @@
 export interface LoadSlotsOptions {
   readonly clock: clock.Clock;
   readonly log: telemetry.Log;
-  readonly platform: platform.PlatformClient;
+  readonly platform: objectStore.PlatformClient;
   readonly configuration: Pick<configuration.ConfigurationStore, 'current'>;
   /** Gives the records of all fabric domains. */
   readonly records: () => ReadonlyMap<string, FabricDomainRecord>;
--- a/packages/groups/src/testing/createFakePlatform.ts
+++ b/packages/groups/src/testing/createFakePlatform.ts
@@ -1,9 +1,9 @@
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 
 /** A platform in memory whose faults a test sets. */
-export interface FakePlatform extends platform.PlatformClient {
-  readonly setListed: (instances: readonly platform.ListedInstance[]) => void;
+export interface FakePlatform extends objectStore.PlatformClient {
+  readonly setListed: (instances: readonly objectStore.ListedInstance[]) => void;
   readonly setOutage: (isOut: boolean) => void;
   /** Loses the answers of the next writes; `takesEffect` tells whether they are stored. */
   readonly loseAnswers: (count: number, takesEffect: boolean) => void;
@@ -19,8 +19,8 @@
 
 /** Creates an empty platform. */
 export const createFakePlatform = (): FakePlatform => {
-  const objects = new Map<string, platform.StoredObject>();
-  let listed: readonly platform.ListedInstance[] = [];
+  const objects = new Map<string, objectStore.StoredObject>();
+  let listed: readonly objectStore.ListedInstance[] = [];
   let version = 0;
   let isOut = false;
   let lostAnswers: boolean[] = [];
@@ -30,8 +30,8 @@
   let held: Promise<void> | undefined;
   const changeListeners = new Set<() => void>();
 
-  const fail = (kind: platform.PlatformFailure['kind'], step: string) =>
-    errors.err<platform.PlatformFailure>({ kind, step, peer: 'platform', message: kind });
+  const fail = (kind: objectStore.PlatformFailure['kind'], step: string) =>
+    errors.err<objectStore.PlatformFailure>({ kind, step, peer: 'platform', message: kind });
 
   const changedSince = (kind: string, since: number) =>
     [...objects.values()].filter((object) => object.kind === kind && object.version > since);
@@ -50,7 +50,7 @@
       signal?.addEventListener('abort', done);
     });
 
-  const store = (key: platform.ObjectKey, value: unknown) => {
+  const store = (key: objectStore.ObjectKey, value: unknown) => {
     version += 1;
     objects.set(key.name, { ...key, version, value: structuredClone(value) });
     changeListeners.forEach((listener) => listener());
--- a/packages/groups/src/testing/createTestFleet.ts
+++ b/packages/groups/src/testing/createTestFleet.ts
@@ -1,7 +1,7 @@
 import * as clock from '@comfreydrum/clock';
 import type * as configuration from '@comfreydrum/configuration';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as telemetry from '@comfreydrum/telemetry';
 import { createGroups, type Groups } from '../createGroups';
 import { createFakeEngine, type FakeEngine } from './createFakeEngine';
@@ -96,7 +96,7 @@
   index: number,
   options: TestFleetOptions,
   current: () => configuration.Configuration,
-  fakePlatform: platform.PlatformClient,
+  fakePlatform: objectStore.PlatformClient,
   connect: (origin: string) => peers.News,
 ): Promise<TestDaemon> => {
   const system = clock.createSystemClock();
--- a/packages/ledger/src/countCalls.ts
+++ b/packages/ledger/src/countCalls.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 
 /** Hears of each call to the platform. */
 export interface CallCounter {
@@ -8,9 +8,9 @@
 
 /** Wraps a client so that every call to the platform is counted. */
 export const countCalls = (
-  client: platform.PlatformClient,
+  client: objectStore.PlatformClient,
   counter: CallCounter,
-): platform.PlatformClient => ({
+): objectStore.PlatformClient => ({
   get: (...parameters) => {
     counter.onRead();
     return client.get(...parameters);
--- a/packages/ledger/src/createLayout.ts
+++ b/packages/ledger/src/createLayout.ts
@@ -1,14 +1,14 @@
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as zod from 'zod';
 
-const layoutKey: platform.ObjectKey = { kind: 'ledger-layout', name: 'layout' };
+const layoutKey: objectStore.ObjectKey = { kind: 'ledger-layout', name: 'layout' };
 const layoutSchema = zod.object({ partitionCount: zod.number().int().min(1) });
 const maxTries = 4;
 
 /** Gives the number of partitions, which all daemons share and which never changes. */
 export interface Layout {
-  readonly partitionCount: () => Promise<errors.Result<number, platform.PlatformFailure>>;
+  readonly partitionCount: () => Promise<errors.Result<number, objectStore.PlatformFailure>>;
 }
 
 /**
@@ -16,13 +16,13 @@
  * none. `onDifference` hears once of another number there, which then stands.
  */
 export const createLayout = (
-  client: platform.PlatformClient,
+  client: objectStore.PlatformClient,
   wantedCount: number,
   onDifference: (storedCount: number) => void,
 ): Layout => {
   let known: number | undefined;
 
-  const read = async (): Promise<errors.Result<number, platform.PlatformFailure>> => {
+  const read = async (): Promise<errors.Result<number, objectStore.PlatformFailure>> => {
     const stored = await client.get(layoutKey, 'safety');
     if (!stored.ok) return stored;
     const { partitionCount } = layoutSchema.parse(stored.value.value);
--- a/packages/ledger/src/createLedger.ts
+++ b/packages/ledger/src/createLedger.ts
@@ -1,7 +1,7 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as lifecycle from '@comfreydrum/lifecycle';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as ulid from 'ulid';
 import { createClaimFlow, type FlowDecision, type ResolveUnknown } from './createClaimFlow';
@@ -19,7 +19,7 @@
 
 /** What a ledger is made of. */
 export interface LedgerParts {
-  readonly platform: platform.PlatformClient;
+  readonly platform: objectStore.PlatformClient;
   readonly membership: peers.Membership;
   readonly calls: peers.PeerCalls;
   readonly clock: clock.Clock;
--- a/packages/ledger/src/createPartitionStore.ts
+++ b/packages/ledger/src/createPartitionStore.ts
@@ -1,6 +1,6 @@
 import type * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as ulid from 'ulid';
 import { createSegmentStore, type SegmentStore } from './createSegmentStore';
 import type { LedgerEntry } from './LedgerEntry';
@@ -14,12 +14,12 @@
 } from './PartitionHead';
 import { describeSegment, dropExpired, mergeEntries, planSeal, type SealPlan } from './planSeal';
 
-type Outcome<Value> = Promise<errors.Result<Value, platform.PlatformFailure>>;
+type Outcome<Value> = Promise<errors.Result<Value, objectStore.PlatformFailure>>;
 
 /** A head, and the condition under which it may be replaced. */
 export interface HeadSnapshot {
   readonly head: PartitionHead;
-  readonly condition: platform.WriteCondition;
+  readonly condition: objectStore.WriteCondition;
 }
 
 /** The head and segments of one partition, as last read or written here. */
@@ -29,7 +29,7 @@
   /** Reads the head and the fingerprints of its segments. */
   readonly load: () => Outcome<HeadSnapshot>;
   /** Writes `head` in place of the one that `condition` was read with; forgets it on failure. */
-  readonly commit: (head: PartitionHead, condition: platform.WriteCondition) => Outcome<void>;
+  readonly commit: (head: PartitionHead, condition: objectStore.WriteCondition) => Outcome<void>;
   /** Reads every entry of head and segments, oldest first, beside the ongoing work. */
   readonly readAll: () => Outcome<readonly LedgerEntry[]>;
   /** Seals a full head, or deletes segments that the head just written does not refer to. */
@@ -39,7 +39,7 @@
 }
 
 export interface PartitionStoreParts {
-  readonly client: platform.PlatformClient;
+  readonly client: objectStore.PlatformClient;
   readonly source: clock.Clock;
   readonly settings: LedgerSettings;
   readonly partition: number;
@@ -61,7 +61,7 @@
   partition,
   onSeal,
 }: PartitionStoreParts): PartitionStore => {
-  const headKey: platform.ObjectKey = { kind: headKind, name: `partition-${partition}` };
+  const headKey: objectStore.ObjectKey = { kind: headKind, name: `partition-${partition}` };
   const segments = createSegmentStore(client);
   let loaded: LoadedHead | undefined;
   let lastSeen: LoadedHead | undefined;
@@ -107,7 +107,7 @@
 
   const writeHead = async (
     head: PartitionHead,
-    condition: platform.WriteCondition,
+    condition: objectStore.WriteCondition,
   ): Outcome<PartitionHead> => {
     const garbage = head.garbage.filter(({ name }) => !gone.has(name));
     const written: PartitionHead = { ...head, garbage };
@@ -177,7 +177,10 @@
     void removeGarbage(result.value);
   };
 
-  const commit = async (head: PartitionHead, condition: platform.WriteCondition): Outcome<void> => {
+  const commit = async (
+    head: PartitionHead,
+    condition: objectStore.WriteCondition,
+  ): Outcome<void> => {
     const trimmed = dropExpired(head);
     plannedName = planSeal(trimmed, settings) ? ulid.ulid() : undefined;
     const planned = plannedName === undefined ? [] : [{ name: plannedName }];
--- a/packages/ledger/src/createPartitionWriter.ts
+++ b/packages/ledger/src/createPartitionWriter.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import { applyOperations, type Applied } from './applyOperations';
 import { createPartitionStore } from './createPartitionStore';
 import type { LedgerEntry } from './LedgerEntry';
@@ -24,13 +24,15 @@
     isWanted?: () => boolean,
   ) => Promise<OperationResult>;
   /** Reads every entry afresh, oldest first; a later entry of a key stands before an earlier. */
-  readonly readAll: () => Promise<errors.Result<readonly LedgerEntry[], platform.PlatformFailure>>;
+  readonly readAll: () => Promise<
+    errors.Result<readonly LedgerEntry[], objectStore.PlatformFailure>
+  >;
   /** Gives the bytes that the partition's fingerprints take in memory. */
   readonly indexBytes: () => number;
 }
 
 export interface PartitionWriterParts {
-  readonly client: platform.PlatformClient;
+  readonly client: objectStore.PlatformClient;
   readonly source: clock.Clock;
   readonly settings: LedgerSettings;
   readonly observer: WriterObserver;
@@ -48,7 +50,7 @@
 const maxTries = 8;
 const batchBytesLimit = 262_144;
 const busyRetryMs = 500;
-const retriedFailures = new Set<platform.PlatformFailure['kind']>([
+const retriedFailures = new Set<objectStore.PlatformFailure['kind']>([
   'conflict',
   'ambiguous',
   'not-found',
@@ -61,7 +63,7 @@
   retryAfterMs: busyRetryMs,
 });
 
-const refuseFor = ({ kind, step, peer, message }: platform.PlatformFailure): Refusal => {
+const refuseFor = ({ kind, step, peer, message }: objectStore.PlatformFailure): Refusal => {
   const reason = `${step} on ${peer}: ${message}`;
   if (kind === 'refused') return refuse('platform-busy', reason);
   return refuse(kind === 'too-large' ? 'too-large' : 'platform-down', reason);
@@ -81,7 +83,7 @@
   const apply = async (
     head: PartitionHead,
     operations: readonly LedgerOperation[],
-  ): Promise<errors.Result<Applied, platform.PlatformFailure>> => {
+  ): Promise<errors.Result<Applied, objectStore.PlatformFailure>> => {
     const keyIds = operations.map(({ keyId }) => keyId).filter((id) => !head.entries.has(id));
     const sealed = await store.segments.find(keyIds, head.segments);
     if (!sealed.ok) return sealed;
@@ -94,7 +96,7 @@
   /** Gives the results, or the failure after which the head has to be read again. */
   const tryOnce = async (
     operations: readonly LedgerOperation[],
-  ): Promise<errors.Result<readonly OperationResult[] | 'stale', platform.PlatformFailure>> => {
+  ): Promise<errors.Result<readonly OperationResult[] | 'stale', objectStore.PlatformFailure>> => {
     const known = store.current();
     const loaded = known ? errors.ok(known) : await store.load();
     if (!loaded.ok) return loaded;
--- a/packages/ledger/src/createPartitions.ts
+++ b/packages/ledger/src/createPartitions.ts
@@ -1,7 +1,7 @@
 import type * as clock from '@comfreydrum/clock';
 import type * as errors from '@comfreydrum/errors';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import createHasher from 'xxhash-wasm';
 import { countCalls } from './countCalls';
 import { createLayout } from './createLayout';
@@ -27,7 +27,7 @@
 }
 
 export interface PartitionsParts {
-  readonly client: platform.PlatformClient;
+  readonly client: objectStore.PlatformClient;
   readonly membership: peers.Membership;
   readonly calls: peers.PeerCalls;
   readonly source: clock.Clock;
--- a/packages/ledger/src/createSegmentStore.ts
+++ b/packages/ledger/src/createSegmentStore.ts
@@ -1,10 +1,10 @@
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import { fingerprintOf } from './keyIdentity';
 import type { LedgerEntry } from './LedgerEntry';
 import { decodeSegment, type GarbageSegment, type SegmentRef } from './PartitionHead';
 
-type Outcome<Value> = Promise<errors.Result<Value, platform.PlatformFailure>>;
+type Outcome<Value> = Promise<errors.Result<Value, objectStore.PlatformFailure>>;
 
 /** The sealed segments of one partition: fingerprints in memory, entries on the platform. */
 export interface SegmentStore {
@@ -41,7 +41,7 @@
   Uint32Array.from(entries, ({ keyId }) => fingerprintOf(keyId)).sort();
 
 /** Creates a store with nothing in memory. */
-export const createSegmentStore = (client: platform.PlatformClient): SegmentStore => {
+export const createSegmentStore = (client: objectStore.PlatformClient): SegmentStore => {
   const fingerprints = new Map<string, Uint32Array>();
 
   const read = async ({ name }: SegmentRef): Outcome<readonly LedgerEntry[]> => {
--- a/packages/ledger/src/testing/createMemoryFleet.ts
+++ b/packages/ledger/src/testing/createMemoryFleet.ts
@@ -2,7 +2,7 @@
 import * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import type * as peers from '@comfreydrum/peers';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as telemetry from '@comfreydrum/telemetry';
 import { createLedger, type LedgerPart, type LedgerParts } from '../createLedger';
 
@@ -43,7 +43,7 @@
 
 /** Creates a fleet without daemons. */
 export const createMemoryFleet = (
-  client: platform.PlatformClient,
+  client: objectStore.PlatformClient,
   options: MemoryFleetOptions = {},
 ): MemoryFleet => {
   const { latencyMs = 0, source = clock.createSystemClock() } = options;
--- a/packages/ledger/src/testing/createMemoryPlatform.ts
+++ b/packages/ledger/src/testing/createMemoryPlatform.ts
@@ -1,14 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import * as errors from '@comfreydrum/errors';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 
 /** How the platform treats the next write it gets. */
 export type WriteFault = 'none' | 'lose-answer' | 'lose-request' | 'delay-effect';
 
 /** A platform in memory whose faults a test chooses. */
-export interface MemoryPlatform extends platform.PlatformClient {
+export interface MemoryPlatform extends objectStore.PlatformClient {
   /** Decides the fate of each write; the default is `none`. */
-  readonly setWriteFault: (decide: (key: platform.ObjectKey) => WriteFault) => void;
+  readonly setWriteFault: (decide: (key: objectStore.ObjectKey) => WriteFault) => void;
   readonly setOutage: (outage: 'none' | 'refuse' | 'hang') => void;
   /** Lets every delayed write take effect now, if its condition still holds. */
   readonly landDelayed: () => void;
@@ -17,7 +17,7 @@
   readonly names: (kind: string) => readonly string[];
 }
 
-type Failure = platform.PlatformFailure;
+type Failure = objectStore.PlatformFailure;
 
 const maxValueBytes = 1_000_000;
 
@@ -27,15 +27,15 @@
   const delayed: (() => void)[] = [];
   let version = 0;
   let outage: 'none' | 'refuse' | 'hang' = 'none';
-  let decideFault: (key: platform.ObjectKey) => WriteFault = () => 'none';
+  let decideFault: (key: objectStore.ObjectKey) => WriteFault = () => 'none';
   const counts = { reads: 0, writes: 0 };
 
-  const fail = (kind: Failure['kind'], step: string, { kind: peer, name }: platform.ObjectKey) =>
+  const fail = (kind: Failure['kind'], step: string, { kind: peer, name }: objectStore.ObjectKey) =>
     errors.err<Failure>({ kind, step, peer: `${peer}/${name}`, message: kind });
 
-  const idOf = ({ kind, name }: platform.ObjectKey) => `${kind}/${name}`;
+  const idOf = ({ kind, name }: objectStore.ObjectKey) => `${kind}/${name}`;
 
-  const holds = (key: platform.ObjectKey, condition: platform.WriteCondition): boolean => {
+  const holds = (key: objectStore.ObjectKey, condition: objectStore.WriteCondition): boolean => {
     const found = objects.get(idOf(key));
     return condition === 'absent' ? !found : found?.version === condition.version;
   };
@@ -46,7 +46,11 @@
     return outage === 'none';
   };
 
-  const applyPut = (key: platform.ObjectKey, text: string, condition: platform.WriteCondition) => {
+  const applyPut = (
+    key: objectStore.ObjectKey,
+    text: string,
+    condition: objectStore.WriteCondition,
+  ) => {
     if (!holds(key, condition)) return fail('conflict', 'put', key);
     version += 1;
     objects.set(idOf(key), { version, text });
--- a/packages/platform/src/createBudgetedPlatformClient.test.ts
+++ b/packages/object-store/src/createBudgetedPlatformClient.test.ts
@@ -8,9 +8,9 @@
 import { createRateMeter } from './createRateMeter';
 import { createSteadyCount } from './createSteadyCount';
 import { createOutageDetector } from './createOutageDetector';
-import * as platform from './index';
+import * as objectStore from './index';
 
-type FailureKind = platform.PlatformFailure['kind'];
+type FailureKind = objectStore.PlatformFailure['kind'];
 
 const createRandom = (seed: number) => {
   const generator = xoroshiro128plus(seed);
@@ -18,7 +18,7 @@
 };
 
 const failure = (kind: FailureKind) =>
-  errors.err<platform.PlatformFailure>({ kind, step: 'test', peer: 'platform', message: kind });
+  errors.err<objectStore.PlatformFailure>({ kind, step: 'test', peer: 'platform', message: kind });
 
 /** Answers after `answerNow`, and notes the calls in their order. */
 const createInner = () => {
@@ -35,7 +35,7 @@
     }
     return fault === undefined ? errors.ok(value) : failure(fault);
   };
-  const client: platform.PlatformClient = {
+  const client: objectStore.PlatformClient = {
     get: ({ kind, name }) =>
       answer(`get ${kind}/${name}`, { kind, name, version: 1, value: sent.length }),
     list: (kind) => answer(`list ${kind}`, { version: 1, objects: [] }),
@@ -65,7 +65,7 @@
 
 const createGate = (perSecond: number, memberCount = 1) => {
   const inner = createInner();
-  const gate = platform.createBudgetedPlatformClient(inner.client, {
+  const gate = objectStore.createBudgetedPlatformClient(inner.client, {
     clock: clock.createSystemClock(),
     random: createRandom(1),
     readsPerSecond: perSecond,
@@ -76,7 +76,7 @@
 };
 
 const key = (name: string) => ({ kind: 'k', name });
-const spend = (gate: platform.PlatformClient, count: number) =>
+const spend = (gate: objectStore.PlatformClient, count: number) =>
   Promise.all(Array.from({ length: count }, (_, index) => gate.get(key(`spent-${index}`))));
 
 const test = uvu.suite('budgeted platform client');
--- a/packages/platform/src/createHttpPlatformClient.test.ts
+++ b/packages/object-store/src/createHttpPlatformClient.test.ts
@@ -3,7 +3,7 @@
 import type * as net from 'node:net';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
-import * as platform from './index';
+import * as objectStore from './index';
 
 const test = uvu.suite('http platform client');
 
@@ -16,7 +16,7 @@
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as net.AddressInfo;
-  const client = platform.createHttpPlatformClient({
+  const client = objectStore.createHttpPlatformClient({
     url: `http://127.0.0.1:${port}`,
     callTimeoutMs: 1_000,
     localAddress: '127.0.0.42',
--- a/packages/peers/src/createPlatformSeeds.test.ts
+++ b/packages/peers/src/createPlatformSeeds.test.ts
@@ -1,4 +1,4 @@
-import * as platform from '@comfreydrum/platform';
+import * as objectStore from '@comfreydrum/object-store';
 import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
@@ -14,7 +14,7 @@
 test.before.each(async (context) => {
   context.standin = testing.createPlatformStandin();
   const { url } = await context.standin.start();
-  const client = platform.createHttpPlatformClient({ url, callTimeoutMs: 2_000 });
+  const client = objectStore.createHttpPlatformClient({ url, callTimeoutMs: 2_000 });
   context.seeds = peers.createPlatformSeeds(client);
 });
 test.after.each(({ standin }) => standin.stop());
--- a/packages/peers/src/createPlatformSeeds.ts
+++ b/packages/peers/src/createPlatformSeeds.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import * as zod from 'zod';
 import type { PlatformSeeds } from './PlatformSeeds';
 
@@ -10,7 +10,7 @@
  * Creates seeds kept as one small platform object per daemon: one read and one write at its start,
  * one read and one write when it leaves or is forgotten.
  */
-export const createPlatformSeeds = (client: platform.PlatformClient): PlatformSeeds => {
+export const createPlatformSeeds = (client: objectStore.PlatformClient): PlatformSeeds => {
   const announceOnce = async (instanceId: string, value: zod.infer<typeof valueSchema>) => {
     const key = { kind, name: instanceId };
     const known = await client.get(key, 'background');
--- a/packages/testing/src/fleet/createFleetPlatform.ts
+++ b/packages/testing/src/fleet/createFleetPlatform.ts
@@ -1,5 +1,5 @@
 import * as undici from 'undici';
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 import type { PlatformCounts } from '../platform/createPlatformStandin';
 import type { PlatformFaults } from '../platform/PlatformFaults';
 import { startProcess } from '../process/startProcess';
@@ -16,11 +16,11 @@
   readonly counts: () => Promise<PlatformCounts>;
   readonly setInstance: (
     instanceId: string,
-    entry: Partial<platform.ListedInstance>,
+    entry: Partial<objectStore.ListedInstance>,
   ) => Promise<void>;
   readonly removeInstance: (instanceId: string) => Promise<void>;
   /** Gives the objects of a kind as they stand. */
-  readonly list: (kind: string) => Promise<readonly platform.StoredObject[]>;
+  readonly list: (kind: string) => Promise<readonly objectStore.StoredObject[]>;
 }
 
 const startTimeoutMs = 10_000;
@@ -62,6 +62,6 @@
     setInstance: (instanceId, entry) => control('PUT', `instances/${instanceId}`, entry),
     removeInstance: (instanceId) => control('DELETE', `instances/${instanceId}`, {}),
     list: async (kind) =>
-      ((await read(`objects/${kind}`)) as { objects: platform.StoredObject[] }).objects,
+      ((await read(`objects/${kind}`)) as { objects: objectStore.StoredObject[] }).objects,
   };
 };
--- a/packages/testing/src/platform/createInstanceList.ts
+++ b/packages/testing/src/platform/createInstanceList.ts
@@ -1,15 +1,15 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 
 interface Snapshot {
   readonly atMs: number;
-  readonly instances: ReadonlyMap<string, platform.ListedInstance>;
+  readonly instances: ReadonlyMap<string, objectStore.ListedInstance>;
 }
 
 /** The list of target instances, read as it stood some time ago. */
 export interface InstanceList {
-  readonly read: (lagMs: number) => readonly platform.ListedInstance[];
-  readonly get: (instanceId: string) => platform.ListedInstance | undefined;
-  readonly set: (instance: platform.ListedInstance) => void;
+  readonly read: (lagMs: number) => readonly objectStore.ListedInstance[];
+  readonly get: (instanceId: string) => objectStore.ListedInstance | undefined;
+  readonly set: (instance: objectStore.ListedInstance) => void;
   readonly remove: (instanceId: string) => void;
 }
 
@@ -24,7 +24,7 @@
   const findLast = (atMs: number) =>
     snapshots.findLast((snapshot) => snapshot.atMs <= atMs) ?? snapshots[0]!;
 
-  const push = (instances: ReadonlyMap<string, platform.ListedInstance>) => {
+  const push = (instances: ReadonlyMap<string, objectStore.ListedInstance>) => {
     const oldest = findLast(nowMs() - keptMs);
     snapshots = snapshots.filter(({ atMs }) => atMs >= oldest.atMs);
     snapshots.push({ atMs: nowMs(), instances });
--- a/packages/testing/src/platform/createObjectStore.ts
+++ b/packages/testing/src/platform/createObjectStore.ts
@@ -1,4 +1,4 @@
-import type * as platform from '@comfreydrum/platform';
+import type * as objectStore from '@comfreydrum/object-store';
 
 interface Change {
   readonly version: number;
@@ -9,32 +9,32 @@
 /** The objects of the platform stand-in, with the history that watches read. */
 export interface ObjectStore {
   readonly version: () => number;
-  readonly get: (key: platform.ObjectKey) => platform.StoredObject | undefined;
-  readonly list: (kind: string) => readonly platform.StoredObject[];
+  readonly get: (key: objectStore.ObjectKey) => objectStore.StoredObject | undefined;
+  readonly list: (kind: string) => readonly objectStore.StoredObject[];
   /** Writes an object whatever its version and gives the new version. */
-  readonly put: (key: platform.ObjectKey, value: unknown) => number;
-  readonly remove: (key: platform.ObjectKey) => number;
+  readonly put: (key: objectStore.ObjectKey, value: unknown) => number;
+  readonly remove: (key: objectStore.ObjectKey) => number;
   /** Gives what changed after a version, or `expired` when the history no longer reaches so far. */
-  readonly changesSince: (kind: string, since: number) => platform.WatchBatch | 'expired';
+  readonly changesSince: (kind: string, since: number) => objectStore.WatchBatch | 'expired';
   /** Calls `listener` after each change of a kind; the result ends the subscription. */
   readonly onChange: (kind: string, listener: () => void) => () => void;
 }
 
 /** Creates an empty store that keeps the last `historyLength` changes. */
 export const createObjectStore = (historyLength: number): ObjectStore => {
-  const objectsByKind = new Map<string, Map<string, platform.StoredObject>>();
+  const objectsByKind = new Map<string, Map<string, objectStore.StoredObject>>();
   const listenersByKind = new Map<string, Set<() => void>>();
   let history: Change[] = [];
   let version = 0;
   let oldestVersion = 0;
 
   const objectsOf = (kind: string) => {
-    const objects = objectsByKind.get(kind) ?? new Map<string, platform.StoredObject>();
+    const objects = objectsByKind.get(kind) ?? new Map<string, objectStore.StoredObject>();
     objectsByKind.set(kind, objects);
     return objects;
   };
 
-  const record = ({ kind, name }: platform.ObjectKey) => {
+  const record = ({ kind, name }: objectStore.ObjectKey) => {
     history.push({ version, kind, name });
     if (history.length > 2 * historyLength) {
       oldestVersion = history[historyLength - 1]!.version;
--- a/packages/testing/src/platform/createPlatformStandin.test.ts
+++ b/packages/testing/src/platform/createPlatformStandin.test.ts
@@ -1,11 +1,11 @@
-import * as platform from '@comfreydrum/platform';
+import * as objectStore from '@comfreydrum/object-store';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import * as testing from '../index';
 
 interface Context {
   standin: testing.PlatformStandin;
-  client: platform.PlatformClient;
+  client: objectStore.PlatformClient;
 }
 
 const test = uvu.suite<Context>('platform stand-in');
@@ -14,12 +14,12 @@
 test.before.each(async (context) => {
   context.standin = testing.createPlatformStandin({ historyLength: 4 });
   const { url } = await context.standin.start();
-  context.client = platform.createHttpPlatformClient({ url, callTimeoutMs: 500 });
+  context.client = objectStore.createHttpPlatformClient({ url, callTimeoutMs: 500 });
 });
 
 test.after.each(({ standin }) => standin.stop());
 
-const kindOf = (result: Awaited<ReturnType<platform.PlatformClient['put']>>) =>
+const kindOf = (result: Awaited<ReturnType<objectStore.PlatformClient['put']>>) =>
   result.ok ? 'ok' : result.error.kind;
 
 test('writes only when the condition on the version holds', async ({ client }) => {
--- a/packages/testing/src/platform/createPlatformStandin.ts
+++ b/packages/testing/src/platform/createPlatformStandin.ts
@@ -1,4 +1,4 @@
-import * as platform from '@comfreydrum/platform';
+import * as objectStore from '@comfreydrum/object-store';
 import { createHttpStandin } from '../http/createHttpStandin';
 import type { Standin, StandinCall, StandinRoute } from '../http/createHttpStandin';
 import { sendJson } from '../http/sendJson';
@@ -31,7 +31,7 @@
 export interface PlatformStandin extends Standin {
   readonly setFaults: (faults: PlatformFaults) => void;
   readonly counts: () => PlatformCounts;
-  readonly setInstance: (instance: platform.ListedInstance) => void;
+  readonly setInstance: (instance: objectStore.ListedInstance) => void;
 }
 
 type CallClass = 'reads' | 'writes' | 'watches';
@@ -121,7 +121,7 @@
     sendJson(call.response, status, body);
   };
 
-  const toKey = ({ parameters }: StandinCall): platform.ObjectKey => ({
+  const toKey = ({ parameters }: StandinCall): objectStore.ObjectKey => ({
     kind: parameters.kind!,
     name: parameters.name!,
   });
@@ -212,7 +212,7 @@
   const controlInstance = ({ response, parameters, body }: StandinCall) => {
     const instanceId = parameters.instanceId!;
     const entry = { ...instances.get(instanceId), ...(body as object), instanceId };
-    const checked = platform.listedInstanceSchema.safeParse(entry);
+    const checked = objectStore.listedInstanceSchema.safeParse(entry);
     if (checked.success) instances.set(checked.data);
     sendJson(response, checked.success ? 200 : 400, checked.success ? entry : checked.error);
   };
