Share the client of targets in a package of its own

Both wires that the product speaks towards targets send requests and read answers alike; the client leaves the gateway unchanged, but for headers that may also be a flat list, which keeps the order and case of a caller's.

--- a/packages/gateway/src/GatewayParts.ts
+++ b/packages/gateway/src/GatewayParts.ts
@@ -1,8 +1,8 @@
 import type * as routing from '@comfreydrum/routing';
+import type * as targetClient from '@comfreydrum/target-client';
 import type { CrashGuard } from './createCrashGuard';
 import type { CustomerShares } from './createCustomerShares';
 import type { InFlight } from './createInFlight';
-import type { TargetClient } from './createTargetClient';
 import type { GatewayDependencies } from './GatewayDependencies';
 import type { GatewayMetrics } from './createGatewayMetrics';
 import type { Pools } from './createPools';
@@ -12,7 +12,7 @@
 /** What the handlers of requests share. */
 export interface GatewayParts {
   readonly dependencies: GatewayDependencies;
-  readonly targets: TargetClient;
+  readonly targets: targetClient.TargetClient;
   readonly inFlight: InFlight;
   readonly metrics: GatewayMetrics;
   readonly pools: Pools;
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -1,7 +1,7 @@
 import type * as errors from '@comfreydrum/errors';
+import type * as targetClient from '@comfreydrum/target-client';
 
-/** What is known about whether a request ran. */
-export type RanState = 'not-run' | 'ran' | 'unknown';
+export type RanState = targetClient.RanState;
 
 /** A final answer that a request did not succeed; `code` is the machine-readable reason. */
 export interface Refusal extends errors.Failure<'refusal'> {
--- a/packages/gateway/src/askPresence.ts
+++ b/packages/gateway/src/askPresence.ts
@@ -1,5 +1,5 @@
+import * as targetClient from '@comfreydrum/target-client';
 import type { GatewayParts } from './GatewayParts';
-import { readWholeBody } from './readWholeBody';
 import type { Candidate } from './SlotPool';
 
 const timeoutMs = 500;
@@ -19,6 +19,6 @@
     signal: AbortSignal.timeout(timeoutMs),
   });
   if (!sent.ok) return undefined;
-  const read = await readWholeBody(sent.value.body, candidate.url, maxPresenceBytes);
+  const read = await targetClient.readWholeBody(sent.value.body, candidate.url, maxPresenceBytes);
   return read.ok ? read.value : undefined;
 };
--- a/packages/gateway/src/createCacheWatch.test.ts
+++ b/packages/gateway/src/createCacheWatch.test.ts
@@ -5,11 +5,11 @@
 import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
+import * as targetClient from '@comfreydrum/target-client';
 import { createCacheWatch } from './createCacheWatch';
-import { createTargetClient } from './createTargetClient';
 import { promptText } from './promptText';
 import type { Candidate } from './SlotPool';
-import { withServer } from './testing/withServer';
+import { withServer } from '../../target-client/src/testing/withServer';
 
 const test = uvu.suite('cache watch');
 
@@ -32,7 +32,7 @@
 /** A watch of one router, and the states that the router learns. */
 const createWatched = (candidates: readonly Candidate[]) => {
   const manual = clock.createManualClock();
-  const targets = createTargetClient(undefined);
+  const targets = targetClient.createTargetClient(undefined);
   const watch = createCacheWatch({
     clock: manual,
     log: telemetry.createLog({ level: 'silent', instanceId: 'entry-1' }),
--- a/packages/gateway/src/createCacheWatch.ts
+++ b/packages/gateway/src/createCacheWatch.ts
@@ -2,8 +2,8 @@
 import * as errors from '@comfreydrum/errors';
 import type * as routing from '@comfreydrum/routing';
 import type * as telemetry from '@comfreydrum/telemetry';
+import type * as targetClient from '@comfreydrum/target-client';
 import type { Candidate } from './SlotPool';
-import type { TargetClient } from './createTargetClient';
 import { readCacheEvents } from './readCacheEvents';
 
 /** Asks the groups that this daemon sends to what their caches hold. */
@@ -23,7 +23,7 @@
 export interface CacheWatchOptions {
   readonly clock: clock.Clock;
   readonly log: telemetry.Log;
-  readonly targets: TargetClient;
+  readonly targets: targetClient.TargetClient;
   readonly random: routing.Random;
   /** Gives how many daemons ask, this one included. */
   readonly daemonCount: () => number;
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -6,6 +6,7 @@
 import * as routing from '@comfreydrum/routing';
 import * as telemetry from '@comfreydrum/telemetry';
 import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as targetClient from '@comfreydrum/target-client';
 import { createCacheWatch } from './createCacheWatch';
 import { createCallerDirectory } from './createCallerDirectory';
 import { createCrashGuard } from './createCrashGuard';
@@ -15,7 +16,6 @@
 import { createPools } from './createPools';
 import { createRetryBudgets } from './createRetryBudgets';
 import { createServiceGenerations } from './createServiceGenerations';
-import { createTargetClient } from './createTargetClient';
 import type { GatewayDependencies } from './GatewayDependencies';
 import type { GatewayParts } from './GatewayParts';
 import { serveCaller } from './serveCaller';
@@ -35,7 +35,7 @@
 /** Creates the gateway; it listens once its part is started. */
 export const createGateway = (dependencies: GatewayDependencies): Gateway => {
   const { clock, limits, listen, log, timeline } = dependencies;
-  const targets = createTargetClient(dependencies.localAddress);
+  const targets = targetClient.createTargetClient(dependencies.localAddress);
   const inFlight = createInFlight();
   const callers = createCallerDirectory(dependencies.configuration);
   const generations = createServiceGenerations();
--- a/packages/gateway/src/createUnknownResolver.ts
+++ b/packages/gateway/src/createUnknownResolver.ts
@@ -1,8 +1,7 @@
 import type * as configuration from '@comfreydrum/configuration';
 import type * as groups from '@comfreydrum/groups';
 import type * as ledger from '@comfreydrum/ledger';
-import { createTargetClient } from './createTargetClient';
-import { readWholeBody } from './readWholeBody';
+import * as targetClient from '@comfreydrum/target-client';
 
 const lookupTimeoutMs = 1_000;
 const maxAnswerBytes = 1_048_576;
@@ -49,13 +48,13 @@
  * says so, and did not only when every target says so.
  */
 export const createUnknownResolver = (options: UnknownResolverOptions): ledger.ResolveUnknown => {
-  const client = createTargetClient(options.localAddress);
+  const client = targetClient.createTargetClient(options.localAddress);
 
   const ask = async (url: string, path: string): Promise<Found> => {
     const signal = AbortSignal.timeout(lookupTimeoutMs);
     const sent = await client.send({ url, path, method: 'GET', headers: {}, body: null, signal });
     if (!sent.ok) return 'unknown';
-    const read = await readWholeBody(sent.value.body, url, maxAnswerBytes);
+    const read = await targetClient.readWholeBody(sent.value.body, url, maxAnswerBytes);
     if (!read.ok) return 'unknown';
     if (sent.value.statusCode === 200) return 'ran';
     return sent.value.statusCode === 404 ? 'not-run' : 'unknown';
--- a/packages/gateway/src/readAnswer.ts
+++ b/packages/gateway/src/readAnswer.ts
@@ -1,17 +1,16 @@
 import * as errors from '@comfreydrum/errors';
-import type { TargetAnswer } from './dispatchRequest';
-import { readWholeBody, type BodyFailure } from './readWholeBody';
+import * as targetClient from '@comfreydrum/target-client';
 import type { ServiceAnswer } from './ServiceAnswer';
 
 const maxAnswerBytes = 8_388_608;
 
 /** Reads a target's answer of at most 8 MB whole; `contentType` stands where the target names none. */
 export const readAnswer = async (
-  answer: TargetAnswer,
+  answer: targetClient.TargetAnswer,
   peer: string,
   contentType: string,
-): Promise<errors.Result<ServiceAnswer, BodyFailure>> => {
-  const read = await readWholeBody(answer.body, peer, maxAnswerBytes);
+): Promise<errors.Result<ServiceAnswer, targetClient.BodyFailure>> => {
+  const read = await targetClient.readWholeBody(answer.body, peer, maxAnswerBytes);
   if (!read.ok) return read;
   return errors.ok({
     statusCode: answer.statusCode,
--- a/packages/gateway/src/readCacheEvents.ts
+++ b/packages/gateway/src/readCacheEvents.ts
@@ -1,7 +1,6 @@
 import * as errors from '@comfreydrum/errors';
 import * as zod from 'zod';
-import type { TargetAnswer } from './dispatchRequest';
-import { readWholeBody } from './readWholeBody';
+import * as targetClient from '@comfreydrum/target-client';
 
 const eventSchema = zod.object({
   kind: zod.enum(['stored', 'evicted']),
@@ -21,7 +20,7 @@
 
 /** Reads the answer of an engine about its cache, up to `maxBytes`. */
 export const readCacheEvents = async (
-  answer: TargetAnswer,
+  answer: targetClient.TargetAnswer,
   peer: string,
   maxBytes: number,
 ): Promise<errors.Result<CacheEvents, BadCacheEvents>> => {
@@ -31,7 +30,7 @@
     answer.body.discard();
     return fail(`the status was ${answer.statusCode}`);
   }
-  const read = await readWholeBody(answer.body, peer, maxBytes);
+  const read = await targetClient.readWholeBody(answer.body, peer, maxBytes);
   if (!read.ok) return fail(read.error.message);
   try {
     const checked = answerSchema.safeParse(JSON.parse(read.value.toString()));
--- a/packages/gateway/src/relayTokens.test.ts
+++ b/packages/gateway/src/relayTokens.test.ts
@@ -2,9 +2,9 @@
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
-import type { AnswerBody, BodyReader } from './createAnswerBody';
+import type * as targetClient from '@comfreydrum/target-client';
 import { relayTokens, type RelayResult } from './relayTokens';
-import { withServer } from './testing/withServer';
+import { withServer } from '../../target-client/src/testing/withServer';
 
 const test = uvu.suite('relay tokens');
 
@@ -13,9 +13,9 @@
 const done = 'data: [DONE]\n\n';
 
 /** A body whose chunks come one in each turn, until it is given up. */
-const bodyOf = (chunks: readonly string[]): AnswerBody => {
+const bodyOf = (chunks: readonly string[]): targetClient.AnswerBody => {
   let isDiscarded = false;
-  const feed = async ({ onChunks, onEnd }: BodyReader) => {
+  const feed = async ({ onChunks, onEnd }: targetClient.BodyReader) => {
     for (const chunk of chunks) {
       await nextTurn();
       if (isDiscarded) return;
--- a/packages/gateway/src/relayTokens.ts
+++ b/packages/gateway/src/relayTokens.ts
@@ -1,6 +1,6 @@
 import type * as http from 'node:http';
 import * as errors from '@comfreydrum/errors';
-import type { AnswerBody } from './createAnswerBody';
+import type * as targetClient from '@comfreydrum/target-client';
 import { createTokenFilter } from './createTokenFilter';
 
 /** How relaying one answer ended; `deliveredTokens` counts from the start of the whole answer. */
@@ -11,7 +11,7 @@
 
 /** What relaying needs to know. */
 export interface RelayOptions {
-  readonly body: AnswerBody;
+  readonly body: targetClient.AnswerBody;
   readonly response: http.ServerResponse;
   readonly requestId: string;
   readonly deliveredTokens: number;
--- a/packages/gateway/src/runOnService.ts
+++ b/packages/gateway/src/runOnService.ts
@@ -1,6 +1,6 @@
 import type * as errors from '@comfreydrum/errors';
+import type * as targetClient from '@comfreydrum/target-client';
 import { crashTargetOf } from './acquireTarget';
-import type { TargetFailure } from './createTargetClient';
 import type { GatewayParts } from './GatewayParts';
 import { isServiceUp } from './isServiceUp';
 import type { RequestContext } from './RequestContext';
@@ -30,7 +30,7 @@
   parts: GatewayParts,
   context: RequestContext,
   { slot, fingerprint, runId, signal, mayWrite }: ServiceRun,
-): Promise<errors.Result<ServiceAnswer, TargetFailure>> => {
+): Promise<errors.Result<ServiceAnswer, targetClient.TargetFailure>> => {
   const { candidate } = slot;
   const target = crashTargetOf(candidate);
   parts.guard.onDispatch(runId, fingerprint, target);
--- a/packages/gateway/src/sendToService.ts
+++ b/packages/gateway/src/sendToService.ts
@@ -1,4 +1,5 @@
 import * as errors from '@comfreydrum/errors';
+import type * as targetClient from '@comfreydrum/target-client';
 import { forwardHeaders } from './forwardHeaders';
 import type { GatewayParts } from './GatewayParts';
 import { readAnswer } from './readAnswer';
@@ -6,7 +7,6 @@
 import { requestOfAnother } from './requestOfAnother';
 import type { ServiceAnswer } from './ServiceAnswer';
 import type { Candidate } from './SlotPool';
-import type { TargetFailure } from './createTargetClient';
 
 /**
  * Sends a caller's request to one target of a service and reads the whole answer. `mayWrite` is asked
@@ -18,7 +18,7 @@
   candidate: Candidate,
   signal: AbortSignal,
   mayWrite?: () => boolean,
-): Promise<errors.Result<ServiceAnswer, TargetFailure>> => {
+): Promise<errors.Result<ServiceAnswer, targetClient.TargetFailure>> => {
   parts.dependencies.timeline.record('dispatch', {
     requestId: context.requestId,
     peer: candidate.url,
--- a/packages/gateway/src/createTargetClient.ts
+++ b/packages/target-client/src/createTargetClient.ts
@@ -1,7 +1,7 @@
 import * as errors from '@comfreydrum/errors';
 import * as undici from 'undici';
 import { dispatchRequest, type TargetAnswer } from './dispatchRequest';
-import type { RanState } from './Refusal';
+import type { RanState } from './RanState';
 
 /** Why a target gave no answer; `ran` says whether the request can have reached it. */
 export interface TargetFailure extends errors.Failure<'target-failed'> {
@@ -15,7 +15,8 @@
   readonly url: string;
   readonly path: string;
   readonly method: undici.Dispatcher.HttpMethod;
-  readonly headers: Readonly<Record<string, string>>;
+  /** By name, or as a flat list of names and values. */
+  readonly headers: Readonly<Record<string, string>> | readonly string[];
   readonly body: Buffer | string | null;
   readonly signal: AbortSignal;
   /**
@@ -52,7 +53,8 @@
   return {
     send: async ({ url, path, method, headers, body, signal, mayWrite = () => true }) => {
       let mayHaveRun = false;
-      const options = { origin: url, path, method, headers, body };
+      const sentHeaders = Array.isArray(headers) ? [...headers] : headers;
+      const options = { origin: url, path, method, headers: sentHeaders, body };
       const checkWrite = () => {
         const may = mayWrite();
         mayHaveRun ||= may;
