--- a/apps/comfreydrumd/src/main.ts
+++ b/apps/comfreydrumd/src/main.ts
@@ -2,30 +2,71 @@
 import * as errors from '@comfreydrum/errors';
 import * as settings from '@comfreydrum/settings';
 import * as commander from 'commander';
-import { runDaemon } from './runDaemon';
+
+interface Options {
+  readonly settings: string;
+  readonly check: boolean;
+}
 
 const program = new commander.Command('comfreydrumd')
   .description('The comfreydrum daemon of an entry instance.')
-  .version('0.1.0')
-  .requiredOption('--settings <file>', 'JSON file with the settings of this instance')
-  .option('--check', 'check the settings and exit', false);
-
-const { settings: file, check } = program
-  .parse()
-  .opts<{ readonly settings: string; readonly check: boolean }>();
-
-const loaded = await settings.loadSettings(file);
-if (!loaded.ok) {
-  process.stderr.write(`${loaded.error.message}\n`);
-  process.exitCode = 2;
-} else if (check) {
-  process.stdout.write(`${file}: valid\n`);
-} else {
+  .version('0.1.0');
+
+const settingsOption = () =>
+  new commander.Option('--settings <file>', 'JSON file with the settings of this instance')
+    .env(settings.settingsFileVariable)
+    .makeOptionMandatory();
+
+const checkOption = () =>
+  new commander.Option('--check', 'check the settings and exit').default(false);
+
+/** Loads the settings, and runs the daemon unless they are only to be checked. */
+const start = async <Loaded>(
+  { settings: file, check }: Options,
+  load: (file: string) => Promise<errors.Result<Loaded>>,
+  run: (loaded: Loaded) => Promise<void>,
+) => {
+  const loaded = await load(file);
+  if (!loaded.ok) {
+    process.stderr.write(`${loaded.error.message}\n`);
+    process.exitCode = 2;
+    return;
+  }
+  if (check) {
+    process.stdout.write(`${file}: valid\n`);
+    return;
+  }
   try {
-    await runDaemon(loaded.value);
+    await run(loaded.value);
   } catch (cause) {
     const detail = cause instanceof Error && cause.cause ? errors.describeCause(cause.cause) : '';
     process.stderr.write(`${errors.describeCause(cause)}: ${detail}\n`);
     process.exit(1);
   }
-}
+};
+
+program
+  .command('serve', { isDefault: true })
+  .description('Serve through the interface of comfreydrum.')
+  .addOption(settingsOption())
+  .addOption(checkOption())
+  .action((options: Options) =>
+    start(options, settings.loadSettings, async (loaded) => {
+      const { runDaemon } = await import('./runDaemon');
+      await runDaemon(loaded);
+    }),
+  );
+
+program
+  .command('relay')
+  .description("Serve on the operators' platform.")
+  .addOption(settingsOption())
+  .addOption(checkOption())
+  .action((options: Options) =>
+    start(options, settings.loadRelaySettings, async (loaded) => {
+      const { runRelayDaemon } = await import('./relay/runRelayDaemon');
+      await runRelayDaemon(loaded, options.settings);
+    }),
+  );
+
+await program.parseAsync();
--- /dev/null
+++ b/apps/comfreydrumd/src/relay/relayTokens.ts
@@ -0,0 +1,28 @@
+import type * as clock from '@comfreydrum/clock';
+import type * as fleet from '@comfreydrum/fleet';
+import type * as formation from '@comfreydrum/formation';
+import type * as objectStore from '@comfreydrum/object-store';
+import type * as operatorsPlatform from '@comfreydrum/operators-platform';
+import type * as peers from '@comfreydrum/peers';
+import type * as relay from '@comfreydrum/relay';
+import type * as settings from '@comfreydrum/settings';
+import type * as telemetry from '@comfreydrum/telemetry';
+import type * as tsyringe from 'tsyringe';
+
+const createToken = <Value>(name: string): tsyringe.InjectionToken<Value> => Symbol(name);
+
+/** The names under which the container holds the parts of a relay daemon. */
+export const relayTokens = {
+  settings: createToken<settings.RelaySettings>('settings'),
+  clock: createToken<clock.Clock>('clock'),
+  log: createToken<telemetry.Log>('log'),
+  metrics: createToken<telemetry.Metrics>('metrics'),
+  platform: createToken<operatorsPlatform.OperatorsPlatform>('platform'),
+  store: createToken<objectStore.BudgetedPlatformClient>('store'),
+  calls: createToken<peers.LoneCalls>('calls'),
+  plan: createToken<fleet.PlanKeeper>('plan'),
+  targets: createToken<fleet.TargetList>('targets'),
+  lease: createToken<formation.Lease>('lease'),
+  formation: createToken<formation.Formation>('formation'),
+  relay: createToken<relay.Relay>('relay'),
+};
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -7,3 +7,4 @@
   type HybridClock,
   type HybridTime,
 } from './createHybridClock';
+export { readMoment, maxElapsedMs, type Moment } from './Moment';
--- /dev/null
+++ b/packages/fleet/src/createPlanKeeper.ts
@@ -0,0 +1,139 @@
+import * as clocks from '@comfreydrum/clock';
+import type * as errors from '@comfreydrum/errors';
+import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as objectStore from '@comfreydrum/object-store';
+import type * as telemetry from '@comfreydrum/telemetry';
+import type { TrafficPlan } from './TrafficPlan';
+
+/** Where the plan lies in the store, and how its value is read. */
+export interface PlanSource {
+  readonly key: objectStore.ObjectKey;
+  readonly decode: (value: unknown) => errors.Result<TrafficPlan>;
+}
+
+/** Holds the traffic plan in force. */
+export interface PlanKeeper {
+  /** Gives the latest plan seen; undefined before the first. */
+  readonly current: () => TrafficPlan | undefined;
+  /** Gives for how long at most the plan may be out of date; infinite before the first proof. */
+  readonly ageMs: () => number;
+  /** Asks the store when the plan is older than `maxAgeMs`; false when that gave no proof. */
+  readonly ensureFresh: (maxAgeMs: number) => Promise<boolean>;
+  readonly part: lifecycle.Part;
+}
+
+/** What keeping the plan needs. */
+export interface PlanKeeperOptions {
+  readonly client: objectStore.PlatformClient;
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.Log;
+  readonly source: PlanSource;
+  readonly random: () => number;
+  readonly onChange?: (plan: TrafficPlan) => void;
+}
+
+/** Each watch renews the proof, so that it is at most twice this old plus the time of a call. */
+const watchWaitMs = 1_500;
+const maxRetryMs = 400;
+
+/**
+ * Creates a keeper without a plan. A plan of a lower revision than one seen before is never taken, and a
+ * value that can't be read leaves the last good plan in place and proves nothing.
+ */
+export const createPlanKeeper = (options: PlanKeeperOptions): PlanKeeper => {
+  const { client, clock, log, source } = options;
+  const abort = new AbortController();
+  let plan: TrafficPlan | undefined;
+  let provedAt: clocks.Moment | undefined;
+  let isReadable = false;
+  let asking: Promise<boolean> | undefined;
+  let failing = false;
+  let following: Promise<void> = Promise.resolve();
+
+  const ageMs = () =>
+    provedAt === undefined ? Infinity : clocks.maxElapsedMs(clock, provedAt);
+
+  const take = ({ value, version }: objectStore.StoredObject) => {
+    const decoded = source.decode(value);
+    isReadable = decoded.ok;
+    if (!decoded.ok) {
+      const { step, peer, message } = decoded.error;
+      log.error({ step, peer, version, keptRevision: plan?.revision }, message);
+      return;
+    }
+    const next = decoded.value;
+    if (plan !== undefined && next.revision <= plan.revision) return;
+    log.info(
+      { step: 'plan', revision: next.revision, before: plan?.revision, ageMs: ageMs() },
+      'traffic plan in force',
+    );
+    plan = next;
+    options.onChange?.(next);
+  };
+
+  const prove = (moment: clocks.Moment) => {
+    if (!isReadable) return;
+    if (failing) log.info({ step: 'plan', peer: 'store' }, 'store reached again');
+    failing = false;
+    if (provedAt === undefined || moment.monotonicMs > provedAt.monotonicMs) provedAt = moment;
+  };
+
+  const noteFailure = (failure: objectStore.PlatformFailure) => {
+    if (!failing) {
+      const { kind, step, peer, message } = failure;
+      log.warn({ step, peer, kind, planAgeMs: Math.round(ageMs()) }, message);
+    }
+    failing = true;
+  };
+
+  const isPlan = ({ name }: objectStore.StoredObject) => name === source.key.name;
+
+  const follower = objectStore.createKindFollower({
+    client,
+    clock,
+    kind: source.key.kind,
+    waitMs: watchWaitMs,
+    spacingMs: () => 0,
+    maxRetryMs,
+    random: options.random,
+    onSnapshot: (objects) => objects.filter(isPlan).forEach(take),
+    onChange: (batch) => batch.changed.filter(isPlan).forEach(take),
+    onCurrent: prove,
+    onFailure: noteFailure,
+  });
+
+  const ask = async (): Promise<boolean> => {
+    const askedAt = clocks.readMoment(clock);
+    const got = await client.get(source.key, 'safety');
+    if (!got.ok) {
+      noteFailure(got.error);
+      return false;
+    }
+    take(got.value);
+    prove(askedAt);
+    return isReadable;
+  };
+
+  return {
+    current: () => plan,
+    ageMs,
+    ensureFresh: async (maxAgeMs) => {
+      if (ageMs() <= maxAgeMs) return true;
+      asking ??= ask().finally(() => {
+        asking = undefined;
+      });
+      await asking;
+      return ageMs() <= maxAgeMs;
+    },
+    part: {
+      name: 'traffic plan',
+      start: () => {
+        following = follower.run(abort.signal);
+      },
+      stop: async () => {
+        abort.abort();
+        await following;
+      },
+    },
+  };
+};
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,37 @@
+export type {
+  CallerLimits,
+  Customer,
+  EngineProfile,
+  Route,
+  RouteKind,
+  ServedModel,
+  Service,
+  ServiceShare,
+  TrafficPlan,
+} from './TrafficPlan';
+export {
+  runKeyOf,
+  type GroupMembership,
+  type MembershipState,
+  type Target,
+} from './Target';
+export {
+  formGroupName,
+  groupsOf,
+  isHeadWorking,
+  type Group,
+  type GroupMember,
+} from './Group';
+export { findRoute } from './findRoute';
+export {
+  createPlanKeeper,
+  type PlanKeeper,
+  type PlanKeeperOptions,
+  type PlanSource,
+} from './createPlanKeeper';
+export {
+  createTargetList,
+  type TargetList,
+  type TargetListOptions,
+  type TargetSource,
+} from './createTargetList';
--- /dev/null
+++ b/packages/formation/src/FormationStep.ts
@@ -0,0 +1,26 @@
+import type * as fleet from '@comfreydrum/fleet';
+import type { CloseMode } from './TargetOrders';
+
+/** One thing to be done next. */
+export type FormationStep =
+  | {
+      readonly kind: 'form';
+      readonly modelName: string;
+      /** The first one is the head. */
+      readonly members: readonly fleet.Target[];
+      readonly reason: string;
+    }
+  | { readonly kind: 'open'; readonly group: fleet.Group; readonly head: fleet.Target }
+  | {
+      readonly kind: 'close';
+      readonly group: fleet.Group;
+      readonly head: fleet.Target;
+      readonly mode: CloseMode;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'stage';
+      readonly modelName: string;
+      readonly target: fleet.Target;
+      readonly reason: string;
+    };
--- /dev/null
+++ b/packages/formation/src/assignModels.ts
@@ -0,0 +1,74 @@
+import type * as fleet from '@comfreydrum/fleet';
+
+/** A fabric domain whose targets can form groups. */
+export interface FabricDomain {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly targets: readonly fleet.Target[];
+}
+
+const countWith = (
+  { targets }: FabricDomain,
+  modelName: string,
+  modelsOf: (target: fleet.Target) => readonly string[],
+): number => targets.filter((target) => modelsOf(target).includes(modelName)).length;
+
+/** Counts the targets on which a model costs no load from the weight store. */
+const countWarm = (domain: FabricDomain, modelName: string): number =>
+  countWith(domain, modelName, ({ stagedModels, loadedModels }) => [
+    ...stagedModels,
+    ...loadedModels,
+  ]);
+
+/** What one domain adds to the work that can be done for a model. */
+const capacityOf = (domain: FabricDomain, model: fleet.ServedModel): number =>
+  Math.floor(domain.targets.length / model.groupSize) / model.paceFactor;
+
+const findWarmest = (
+  domain: FabricDomain,
+  models: readonly fleet.ServedModel[],
+): fleet.ServedModel | undefined =>
+  models
+    .map((model) => ({ model, count: countWarm(domain, model.name) }))
+    .filter(({ count }) => count > 0)
+    .sort((one, other) => other.count - one.count)[0]?.model;
+
+/**
+ * Assigns one model to each fabric domain, so that the survivors of two broken groups of a domain make
+ * one whole group without a load. A domain keeps the model that most of its targets hold; the others go
+ * to the model with the least capacity for its demand, first within their failure domain.
+ */
+export const assignModels = (
+  domains: readonly FabricDomain[],
+  models: readonly fleet.ServedModel[],
+): ReadonlyMap<string, string> => {
+  const assigned = new Map<string, fleet.ServedModel>();
+  domains.forEach((domain) => {
+    const warmest = findWarmest(domain, models);
+    if (warmest !== undefined) assigned.set(domain.name, warmest);
+  });
+
+  const capacity = (model: fleet.ServedModel, failureDomain: string | undefined) =>
+    domains
+      .filter(
+        (domain) =>
+          assigned.get(domain.name) === model &&
+          (failureDomain === undefined || domain.failureDomain === failureDomain),
+      )
+      .reduce((sum, domain) => sum + capacityOf(domain, model), 0) / model.demandShare;
+
+  domains
+    .filter(({ name }) => !assigned.has(name))
+    .sort((one, other) => one.name.localeCompare(other.name))
+    .forEach(({ name, failureDomain }) => {
+      const [next] = [...models].sort(
+        (one, other) =>
+          capacity(one, failureDomain) - capacity(other, failureDomain) ||
+          capacity(one, undefined) - capacity(other, undefined) ||
+          other.demandShare - one.demandShare,
+      );
+      if (next !== undefined) assigned.set(name, next);
+    });
+
+  return new Map([...assigned].map(([name, model]) => [name, model.name]));
+};
--- /dev/null
+++ b/packages/formation/src/createFormation.ts
@@ -0,0 +1,217 @@
+import type * as clocks from '@comfreydrum/clock';
+import * as errors from '@comfreydrum/errors';
+import * as fleet from '@comfreydrum/fleet';
+import type * as lifecycle from '@comfreydrum/lifecycle';
+import type * as peers from '@comfreydrum/peers';
+import type * as telemetry from '@comfreydrum/telemetry';
+import * as zod from 'zod';
+import type { Lease } from './createLease';
+import { createLossDetector } from './createLossDetector';
+import { createOrderBook } from './createOrderBook';
+import type { FormationStep } from './FormationStep';
+import { planFormation } from './planFormation';
+import type { OrderOutcome, TargetOrders } from './TargetOrders';
+
+/** A target or group that a request showed to be failing. */
+export interface Suspicion {
+  readonly targetId: string;
+  readonly groupKey: string | undefined;
+}
+
+/** Forms and mends groups while this daemon holds the lease. */
+export interface Formation {
+  /** Takes a suspicion of this daemon, and passes it on when another one is the controller. */
+  readonly suspect: (suspicion: Suspicion) => void;
+  readonly part: lifecycle.Part;
+}
+
+/** What formation needs. */
+export interface FormationOptions {
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.Log;
+  readonly metrics: telemetry.Metrics;
+  readonly plan: fleet.PlanKeeper;
+  readonly targets: fleet.TargetList;
+  readonly orders: TargetOrders;
+  readonly lease: Lease;
+  readonly calls: peers.PeerCalls;
+  /** Whether this daemon has seen no request of a caller. */
+  readonly isBeforeTraffic: () => boolean;
+}
+
+const tickMs = 100;
+/** A list this old is not acted upon. */
+const maxListAgeMs = 4_500;
+const suspectMethod = 'formation.suspect';
+const suspectTimeoutMs = 400;
+/** One daemon tells of one target this often at most. */
+const suspicionSpacingMs = 300;
+/** Epochs of one holder of the lease; its token is the higher part. */
+const epochsPerToken = 10_000;
+
+const suspicionSchema = zod.object({ targetId: zod.string(), groupKey: zod.string().optional() });
+
+/** Creates the formation of a daemon. */
+export const createFormation = (options: FormationOptions): Formation => {
+  const { clock, targets, plan, orders, lease, calls } = options;
+  const log = options.log.child({ part: 'formation' });
+  const orderCount = options.metrics.counter(
+    'comfreydrum_orders_total',
+    'Orders to targets, by what became of them.',
+    ['order', 'outcome'],
+  );
+  const book = createOrderBook(clock);
+  const toldAtMs = new Map<string, number>();
+  let timer: NodeJS.Timeout | undefined;
+  let epochCount = 0;
+  let scheduled = false;
+
+  const schedule = () => {
+    if (scheduled) return;
+    scheduled = true;
+    setImmediate(() => {
+      scheduled = false;
+      step();
+    });
+  };
+
+  const detector = createLossDetector({ clock, log, orders, onChange: schedule });
+
+  const noteOutcome = (
+    target: fleet.Target,
+    order: string,
+    outcome: OrderOutcome,
+    facts: Readonly<Record<string, unknown>>,
+  ) => {
+    orderCount.add({ order, outcome });
+    log.info({ step: order, targetId: target.id, peer: target.address, outcome, ...facts }, 'order');
+    if (outcome === 'outdated') lease.resign(`target ${target.id} has seen a higher token`);
+    if (outcome !== 'accepted') book.fail(target);
+    if (outcome === 'unanswered' || outcome === 'wrong-target') detector.suspect([target]);
+  };
+
+  const give = (
+    target: fleet.Target,
+    order: string,
+    facts: Readonly<Record<string, unknown>>,
+    send: () => Promise<OrderOutcome>,
+  ) => {
+    void send()
+      .then((outcome) => noteOutcome(target, order, outcome, facts))
+      .catch((cause: unknown) =>
+        log.error({ step: order, targetId: target.id }, errors.describeCause(cause)),
+      );
+  };
+
+  const takeStep = (next: FormationStep, token: number) => {
+    switch (next.kind) {
+      case 'form': {
+        epochCount += 1;
+        const epoch = token * epochsPerToken + epochCount;
+        const { modelName, members, reason } = next;
+        const groupName = fleet.formGroupName(modelName, epoch);
+        const memberIds = members.map(({ id }) => id);
+        const order = { token, groupName, epoch, modelName, memberIds };
+        log.info({ step: 'form', groupName, epoch, memberIds, reason }, 'forming a group');
+        members.forEach((target) => {
+          book.note(target);
+          give(target, 'join', { groupName, epoch }, () => orders.join(target, order));
+        });
+        return;
+      }
+      case 'open': {
+        const { group, head } = next;
+        const ref = { token, groupName: group.name, epoch: group.epoch };
+        book.note(head);
+        give(head, 'open', ref, () => orders.open(head, ref));
+        return;
+      }
+      case 'close': {
+        const { group, head, mode, reason } = next;
+        const ref = { token, groupName: group.name, epoch: group.epoch };
+        book.note(head);
+        give(head, 'close', { ...ref, mode, reason }, () => orders.close(head, ref, mode));
+        return;
+      }
+      case 'stage': {
+        const { target, modelName, reason } = next;
+        book.noteStaging(target, modelName);
+        give(target, 'stage', { modelName, reason }, () =>
+          orders.stage(target, { token, modelName }),
+        );
+        return;
+      }
+      default:
+        errors.unreachable(next);
+    }
+  };
+
+  function step() {
+    const state = lease.state();
+    const current = plan.current();
+    if (state.kind !== 'holder' || current === undefined) return;
+    if (!state.mayAct || targets.ageMs() > maxListAgeMs) return;
+    const listed = targets.all();
+    book.settle(listed);
+    detector.tick(listed);
+    current.services.forEach(({ name, engine }) => {
+      if (engine === undefined) return;
+      planFormation({
+        engine,
+        targets: [...listed.values()].filter(({ serviceName }) => serviceName === name),
+        isLost: detector.isLost,
+        isOrdered: book.isOrdered,
+        stagingModel: book.stagingModel,
+        isBeforeTraffic: options.isBeforeTraffic(),
+      }).forEach((next) => takeStep(next, state.token));
+    });
+  }
+
+  const takeSuspicion = ({ targetId, groupKey }: Suspicion) => {
+    const listed = [...targets.all().values()];
+    const group = fleet.groupsOf(listed).find(({ key }) => key === groupKey);
+    const target = targets.all().get(targetId);
+    const members = group?.members ?? (target === undefined ? [] : [target]);
+    if (members.length === 0) return;
+    log.info({ step: 'suspect', targetId, group: groupKey }, 'asking suspected targets');
+    detector.suspect(members);
+  };
+
+  calls.handle(suspectMethod, async (params) => {
+    const checked = suspicionSchema.safeParse(params);
+    if (!checked.success) throw new Error('params: expected targetId and groupKey');
+    const { targetId, groupKey } = checked.data;
+    if (lease.state().kind === 'holder') takeSuspicion({ targetId, groupKey });
+    return { taken: lease.state().kind === 'holder' };
+  });
+
+  const tell = (holderAddress: string, suspicion: Suspicion) => {
+    void calls
+      .call(holderAddress, suspectMethod, suspicion, suspectTimeoutMs)
+      .then((result) => {
+        if (result.ok) return;
+        const { kind, step: failedStep, peer, message } = result.error;
+        log.info({ step: failedStep, peer, kind }, message);
+      });
+  };
+
+  return {
+    suspect: (suspicion) => {
+      const key = suspicion.groupKey ?? suspicion.targetId;
+      const nowMs = clock.monotonicMs();
+      if (nowMs - (toldAtMs.get(key) ?? -Infinity) < suspicionSpacingMs) return;
+      toldAtMs.set(key, nowMs);
+      const state = lease.state();
+      if (state.kind === 'holder') takeSuspicion(suspicion);
+      else if (state.holderAddress !== undefined) tell(state.holderAddress, suspicion);
+    },
+    part: {
+      name: 'formation',
+      start: () => {
+        targets.onChange(schedule);
+        timer = setInterval(step, tickMs);
+      },
+      stop: () => clearInterval(timer),
+    },
+  };
+};
--- /dev/null
+++ b/packages/formation/src/createLease.ts
@@ -0,0 +1,226 @@
+import * as clocks from '@comfreydrum/clock';
+import type * as lifecycle from '@comfreydrum/lifecycle';
+import type * as objectStore from '@comfreydrum/object-store';
+import type * as peers from '@comfreydrum/peers';
+import type * as telemetry from '@comfreydrum/telemetry';
+import * as zod from 'zod';
+
+/** What this daemon may do as the controller. */
+export type LeaseState =
+  | { readonly kind: 'standby'; readonly holderAddress: string | undefined }
+  /** `token` rises with each change of the holder. */
+  | { readonly kind: 'holder'; readonly token: number; readonly mayAct: boolean };
+
+/** Lets one daemon at a time act as the controller. */
+export interface Lease {
+  readonly state: () => LeaseState;
+  /** Gives up the lease at once, when a target has seen a higher token. */
+  readonly resign: (reason: string) => void;
+  /** How many daemons live, as far as this one knows. */
+  readonly daemonCount: () => number;
+  readonly part: lifecycle.Part;
+}
+
+/** What a lease needs. */
+export interface LeaseOptions {
+  readonly client: objectStore.PlatformClient;
+  readonly calls: peers.PeerCalls;
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.Log;
+  readonly key: objectStore.ObjectKey;
+  /** Names this run of this daemon. */
+  readonly runId: string;
+  /** Where other daemons call this one. */
+  readonly address: string;
+  readonly random: () => number;
+}
+
+const recordSchema = zod.object({
+  /** Empty when the last holder gave the lease up. */
+  holderRunId: zod.string(),
+  address: zod.string(),
+});
+const checkInSchema = zod.object({
+  holderRunId: zod.string(),
+  daemonCount: zod.number(),
+});
+
+const checkInMethod = 'formation.checkIn';
+const tickMs = 250;
+const checkInTimeoutMs = 400;
+/** A standby checks in this often. */
+const checkInIntervalMs = 500;
+/** Misses in a row after which a standby takes over: less when the holder's port refuses. */
+const refusedMisses = 2;
+const silentMisses = 4;
+const renewIntervalMs = 1_000;
+/** A holder acts only while the store confirmed its lease so lately. */
+const validityMs = 2_500;
+/** A daemon that checked in within this time lives. */
+const seenMs = 2_500;
+/** How many daemons are taken to live before a holder has told. */
+const initialDaemonCount = 8;
+
+/**
+ * Creates the lease, held by nobody that this daemon knows of. A holder renews it at the store and stops
+ * acting when that fails; standbys call the holder, since the store's calls are few. A standby that takes
+ * over from a holder whose death is not proved waits until that one has stopped acting.
+ */
+export const createLease = (options: LeaseOptions): Lease => {
+  const { client, calls, clock, log, key, runId, address } = options;
+  const seenAtMs = new Map<string, number>();
+  let timer: NodeJS.Timeout | undefined;
+  let busy = false;
+  let stopped = false;
+  let holder: { readonly runId: string; readonly address: string } | undefined;
+  let version: number | undefined;
+  let token: number | undefined;
+  let confirmedAt: clocks.Moment | undefined;
+  let actsFromMs = 0;
+  let misses = { refused: 0, silent: 0 };
+  let nextAtMs = 0;
+  let daemonCount = initialDaemonCount;
+
+  const isHolder = () => token !== undefined;
+
+  const countDaemons = () => {
+    const nowMs = clock.monotonicMs();
+    [...seenAtMs]
+      .filter(([, atMs]) => nowMs - atMs > seenMs)
+      .forEach(([callerId]) => seenAtMs.delete(callerId));
+    return seenAtMs.size + 1;
+  };
+
+  const stepDown = (reason: string) => {
+    if (isHolder()) log.warn({ step: 'lease', token, version }, `gave up control: ${reason}`);
+    token = undefined;
+    confirmedAt = undefined;
+    version = undefined;
+    holder = undefined;
+  };
+
+  const write = async (holderRunId: string, waitsMs: number): Promise<void> => {
+    const askedAt = clocks.readMoment(clock);
+    const condition = version === undefined ? ('absent' as const) : { version };
+    const put = await client.put(key, { holderRunId, address }, condition, 'safety');
+    if (!put.ok) {
+      const { kind, step, peer, message } = put.error;
+      log.info({ step, peer, kind, version }, message);
+      if (kind === 'conflict' || kind === 'not-found') stepDown('another daemon wrote the lease');
+      return;
+    }
+    version = put.value;
+    if (holderRunId === '') return;
+    confirmedAt = askedAt;
+    if (token !== undefined) return;
+    token = put.value;
+    holder = { runId, address };
+    actsFromMs = clock.monotonicMs() + waitsMs;
+    log.info({ step: 'lease', token, waitsMs }, 'took control');
+  };
+
+  const read = async (): Promise<boolean> => {
+    const got = await client.get(key, 'safety');
+    if (!got.ok) {
+      if (got.error.kind !== 'not-found') return false;
+      version = undefined;
+      holder = undefined;
+      return true;
+    }
+    const checked = recordSchema.safeParse(got.value.value);
+    if (!checked.success) {
+      log.warn({ step: 'lease', version: got.value.version }, 'the lease can not be read');
+    }
+    const { holderRunId = '', address: holderAddress = '' } = checked.data ?? {};
+    version = got.value.version;
+    holder = holderRunId === '' ? undefined : { runId: holderRunId, address: holderAddress };
+    return true;
+  };
+
+  /** Takes the lease over unless someone else has just done so. */
+  const takeOver = async (isDeathProved: boolean) => {
+    const before = holder?.runId;
+    if (!(await read())) return;
+    if (holder !== undefined && holder.runId !== before) {
+      misses = { refused: 0, silent: 0 };
+      return;
+    }
+    const isOwnEarlierRun = holder?.address === address;
+    const mayActAtOnce = holder === undefined || isDeathProved || isOwnEarlierRun;
+    await write(runId, mayActAtOnce ? 0 : validityMs);
+  };
+
+  const checkIn = async () => {
+    if (holder === undefined || holder.address === address) {
+      await takeOver(true);
+      return;
+    }
+    const asked = holder;
+    const result = await calls.call(asked.address, checkInMethod, {}, checkInTimeoutMs);
+    if (result.ok) {
+      const checked = checkInSchema.safeParse(result.value);
+      misses = { refused: 0, silent: 0 };
+      if (checked.success && checked.data.holderRunId === asked.runId) {
+        daemonCount = checked.data.daemonCount;
+        return;
+      }
+      // The daemon there is no longer the holder.
+      await takeOver(true);
+      return;
+    }
+    if (result.error.kind === 'unreachable') misses.refused += 1;
+    else misses.silent += 1;
+    nextAtMs = 0;
+    if (misses.refused >= refusedMisses) await takeOver(true);
+    else if (misses.refused + misses.silent >= silentMisses) await takeOver(false);
+  };
+
+  const tick = async () => {
+    const nowMs = clock.monotonicMs();
+    if (busy || stopped || nowMs < nextAtMs) return;
+    busy = true;
+    try {
+      if (isHolder()) {
+        nextAtMs = nowMs + renewIntervalMs;
+        await write(runId, 0);
+      } else {
+        nextAtMs = nowMs + checkInIntervalMs * (0.8 + 0.4 * options.random());
+        await checkIn();
+      }
+    } finally {
+      busy = false;
+    }
+  };
+
+  calls.handle(checkInMethod, async (_params, callerId) => {
+    seenAtMs.set(callerId, clock.monotonicMs());
+    return { holderRunId: isHolder() ? runId : '', daemonCount: countDaemons() };
+  });
+
+  return {
+    state: () => {
+      if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
+      const isConfirmed =
+        confirmedAt !== undefined && clocks.maxElapsedMs(clock, confirmedAt) < validityMs;
+      return { kind: 'holder', token, mayAct: isConfirmed && clock.monotonicMs() >= actsFromMs };
+    },
+    resign: stepDown,
+    daemonCount: () => (isHolder() ? countDaemons() : daemonCount),
+    part: {
+      name: 'lease',
+      start: () => {
+        timer = setInterval(() => {
+          void tick();
+        }, tickMs);
+      },
+      stop: async () => {
+        stopped = true;
+        clearInterval(timer);
+        if (!isHolder()) return;
+        log.info({ step: 'lease', token }, 'hands control over');
+        token = undefined;
+        await write('', 0);
+      },
+    },
+  };
+};
--- /dev/null
+++ b/packages/formation/src/createLossDetector.ts
@@ -0,0 +1,117 @@
+import type * as clocks from '@comfreydrum/clock';
+import * as fleet from '@comfreydrum/fleet';
+import type * as telemetry from '@comfreydrum/telemetry';
+import type { TargetOrders } from './TargetOrders';
+
+/** Finds out which targets are lost before the list does. */
+export interface LossDetector {
+  /** Asks the members of a group, or one target, whether they live. */
+  readonly suspect: (targets: readonly fleet.Target[]) => void;
+  readonly isLost: (target: fleet.Target) => boolean;
+  /** Forgets targets that are no longer listed, and asks the lost ones again from time to time. */
+  readonly tick: (listed: ReadonlyMap<string, fleet.Target>) => void;
+}
+
+/** What the detector needs. */
+export interface LossDetectorOptions {
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.Log;
+  readonly orders: Pick<TargetOrders, 'probe'>;
+  readonly onChange: () => void;
+}
+
+/** A live target on a sound link answers within some milliseconds. */
+const probeTimeoutMs = 200;
+/** Silent probes in a row after which a target counts as lost; one that refuses connections counts at once. */
+const silentProbes = 2;
+/** A target that has answered is not asked again within this time. */
+const answeredStandsMs = 400;
+/** A lost target that is still listed is asked again this often. */
+const recheckMs = 2_000;
+
+interface Suspect {
+  silentCount: number;
+  asking: boolean;
+  answeredAtMs: number;
+  askedAtMs: number;
+  lost: boolean;
+}
+
+/** Creates a detector that suspects nobody. */
+export const createLossDetector = (options: LossDetectorOptions): LossDetector => {
+  const { clock, log, orders } = options;
+  const suspects = new Map<string, Suspect>();
+
+  const suspectOf = (target: fleet.Target): Suspect => {
+    const key = fleet.runKeyOf(target);
+    const known = suspects.get(key);
+    if (known !== undefined) return known;
+    const created = {
+      silentCount: 0,
+      asking: false,
+      answeredAtMs: -Infinity,
+      askedAtMs: -Infinity,
+      lost: false,
+    };
+    suspects.set(key, created);
+    return created;
+  };
+
+  const setLost = (target: fleet.Target, suspect: Suspect, lost: boolean, reason: string) => {
+    if (suspect.lost === lost) return;
+    suspect.lost = lost;
+    log.info(
+      { step: 'probe', targetId: target.id, peer: target.address, lost, reason },
+      lost ? 'target taken for lost' : 'target answers again',
+    );
+    options.onChange();
+  };
+
+  const probe = async (target: fleet.Target, suspect: Suspect): Promise<void> => {
+    suspect.asking = true;
+    suspect.askedAtMs = clock.monotonicMs();
+    const result = await orders.probe(target, probeTimeoutMs);
+    suspect.asking = false;
+    if (result.ok) {
+      suspect.silentCount = 0;
+      suspect.answeredAtMs = clock.monotonicMs();
+      const isOtherRun = result.value.startedAtMs !== target.startedAtMs;
+      setLost(target, suspect, isOtherRun, isOtherRun ? 'another run answers' : 'answered');
+      return;
+    }
+    suspect.silentCount += 1;
+    const isRefused = result.error.kind === 'refused';
+    if (isRefused || suspect.silentCount >= silentProbes) {
+      setLost(target, suspect, true, result.error.message);
+      return;
+    }
+    await probe(target, suspect);
+  };
+
+  const ask = (target: fleet.Target) => {
+    const suspect = suspectOf(target);
+    if (!suspect.asking) void probe(target, suspect);
+  };
+
+  return {
+    suspect: (targets) => {
+      const nowMs = clock.monotonicMs();
+      targets
+        .filter((target) => {
+          const { answeredAtMs, lost } = suspectOf(target);
+          return !lost && nowMs - answeredAtMs >= answeredStandsMs;
+        })
+        .forEach(ask);
+    },
+    isLost: (target) => suspects.get(fleet.runKeyOf(target))?.lost ?? false,
+    tick: (listed) => {
+      const nowMs = clock.monotonicMs();
+      const byKey = new Map([...listed.values()].map((target) => [fleet.runKeyOf(target), target]));
+      suspects.forEach((suspect, key) => {
+        const target = byKey.get(key);
+        if (target === undefined) suspects.delete(key);
+        else if (suspect.lost && nowMs - suspect.askedAtMs >= recheckMs) ask(target);
+      });
+    },
+  };
+};
--- /dev/null
+++ b/packages/formation/src/judgeGroup.ts
@@ -0,0 +1,46 @@
+import type * as fleet from '@comfreydrum/fleet';
+
+/**
+ * What a group needs.
+ *
+ * - `forming`: its members still join.
+ * - `openable`: every member is ready and the head does not serve yet.
+ * - `serving`: the head is open and every member is there.
+ * - `closing`: the head finishes or sheds its work.
+ * - `must-close`: the head is open and a member is gone or leaves.
+ * - `dissolved`: the head does not serve, so that the members that are left are free.
+ */
+export type GroupVerdict =
+  | { readonly kind: 'forming' | 'openable' | 'serving' | 'closing' | 'dissolved' }
+  | { readonly kind: 'must-close'; readonly isMemberGone: boolean };
+
+/** What is known of a group beside what its members report. */
+export interface GroupKnowledge {
+  readonly groupSize: number;
+  /** Whether a listed target is known to be lost all the same. */
+  readonly isLost: (target: fleet.Target) => boolean;
+}
+
+/** Judges a group from the reports of its members. */
+export const judgeGroup = (
+  group: fleet.Group,
+  { groupSize, isLost }: GroupKnowledge,
+): GroupVerdict => {
+  const { head, members } = group;
+  if (head === undefined || isLost(head)) return { kind: 'dissolved' };
+  const headState = head.membership.state;
+  const isMemberGone = members.length < groupSize || members.some(isLost);
+  const isWhole = !isMemberGone && members.every(({ state }) => state === 'live');
+  if (headState === 'closing') return { kind: 'closing' };
+  if (headState === 'broken') return { kind: 'dissolved' };
+  if (headState === 'open') {
+    return isWhole ? { kind: 'serving' } : { kind: 'must-close', isMemberGone };
+  }
+  if (!isWhole) return { kind: 'dissolved' };
+  if (members.some(({ membership }) => membership.state === 'broken')) {
+    return { kind: 'dissolved' };
+  }
+  return members.every(({ membership }) => membership.state === 'ready')
+    ? { kind: 'openable' }
+    : { kind: 'forming' };
+};
--- a/packages/object-store/src/createBudgetedPlatformClient.ts
+++ b/packages/object-store/src/createBudgetedPlatformClient.ts
@@ -19,6 +19,8 @@
   readonly writesPerSecond: number;
   /** How many daemons share the rates now, this one included. */
   readonly memberCount: () => number;
+  /** The longest pause between tries of a platform that is down. */
+  readonly maxRetryMs?: number;
 }
 
 /** What was spent at the platform since the start, and the state of the gate. */
@@ -83,7 +85,7 @@
   const writeQueue = createCallQueue(writeBudget);
   const readMeter = createRateMeter(options.clock);
   const writeMeter = createRateMeter(options.clock);
-  const detector = createOutageDetector(options.clock, options.random);
+  const detector = createOutageDetector(options.clock, options.random, options.maxRetryMs);
   const unsentReads = new Map<string, Promise<Answer<unknown>>>();
   const counts = { read: 0, write: 0, watch: 0, coalesced: 0, turnedAway: 0, failed: 0 };
 
--- a/packages/object-store/src/createOutageDetector.ts
+++ b/packages/object-store/src/createOutageDetector.ts
@@ -14,7 +14,7 @@
 
 const failuresToOutage = 3;
 const firstRetryMs = 500;
-const maxRetryMs = 6_000;
+const defaultMaxRetryMs = 6_000;
 
 /**
  * Creates a detector: an outage begins after three failures in a row and ends with one success.
@@ -24,6 +24,7 @@
 export const createOutageDetector = (
   systemClock: clock.Clock,
   random: () => number,
+  maxRetryMs = defaultMaxRetryMs,
 ): OutageDetector => {
   let failures = 0;
   let firstFailureAtMs = 0;
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -14,6 +14,11 @@
   type BudgetedPlatformClientOptions,
   type PlatformStatistics,
 } from './createBudgetedPlatformClient';
+export {
+  createKindFollower,
+  type KindFollower,
+  type KindFollowerOptions,
+} from './createKindFollower';
 export type { Outage } from './createOutageDetector';
 export type { ListedInstance } from './ListedInstance';
 export { listedInstanceSchema } from './ListedInstance';
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -8,3 +8,4 @@
 export { createPlatformSeeds } from './createPlatformSeeds';
 export { createPeers } from './createPeers';
 export { parseAddress, type SocketAddress } from './parseAddress';
+export { createLoneCalls, type LoneCalls, type LoneCallsOptions } from './createLoneCalls';
--- /dev/null
+++ b/packages/relay/src/Refusal.ts
@@ -0,0 +1,47 @@
+import type * as targetClient from '@comfreydrum/target-client';
+
+/** Why a request gets no answer of a target. */
+export type RefusalCause =
+  | 'no-plan'
+  | 'plan-out-of-date'
+  | 'no-route'
+  | 'unknown-key'
+  | 'body-too-large'
+  | 'body-too-slow'
+  | 'no-group'
+  | 'no-target'
+  | 'overload'
+  | 'targets-refused'
+  | 'target-failed'
+  | 'retry-budget-spent'
+  | 'timeout'
+  | 'internal';
+
+/** A final answer of our own. */
+export interface Refusal {
+  readonly cause: RefusalCause;
+  readonly statusCode: number;
+  readonly ran: targetClient.RanState;
+  readonly message: string;
+  /** When coming back helps. */
+  readonly retryAfterMs?: number;
+}
+
+const notRunStatus = 503;
+const failedStatus = 502;
+const timeoutStatus = 504;
+
+/** Makes the refusal of a request that no target has run or will run. */
+export const refuseNotRun = (
+  cause: RefusalCause,
+  message: string,
+  retryAfterMs: number,
+): Refusal => ({ cause, statusCode: notRunStatus, ran: 'not-run', message, retryAfterMs });
+
+/** Makes the final answer to a request that a target may have run. */
+export const reportFailure = (cause: RefusalCause, message: string): Refusal => ({
+  cause,
+  statusCode: cause === 'timeout' ? timeoutStatus : failedStatus,
+  ran: 'unknown',
+  message,
+});
--- /dev/null
+++ b/packages/relay/src/answerHeadersOf.ts
@@ -0,0 +1,16 @@
+import type * as targetClient from '@comfreydrum/target-client';
+import { isConnectionHeader } from './isConnectionHeader';
+
+/** Gives the headers of a target's answer that its caller gets. */
+export const answerHeadersOf = (
+  headers: targetClient.TargetAnswer['headers'],
+): Readonly<Record<string, string | string[]>> => {
+  const connection = headers['connection'];
+  const named = connection === undefined ? undefined : String(connection);
+  return Object.fromEntries(
+    Object.entries(headers).flatMap(([name, value]) => {
+      if (value === undefined || isConnectionHeader(name, named)) return [];
+      return [[name, typeof value === 'string' ? value : [...value]]];
+    }),
+  );
+};
--- /dev/null
+++ b/packages/relay/src/attemptExchange.ts
@@ -0,0 +1,61 @@
+import * as targetClient from '@comfreydrum/target-client';
+import { answerHeadersOf } from './answerHeadersOf';
+import type { Candidate } from './chooseTarget';
+import type { RelayParts } from './RelayParts';
+import type { RequestContext } from './RequestContext';
+import { sendToTarget, type SendFailure } from './sendToTarget';
+
+/** A target's answer, read to its end. */
+export interface WholeAnswer {
+  readonly statusCode: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+}
+
+export type ExchangeResult =
+  | { readonly kind: 'answered'; readonly answer: WholeAnswer }
+  | { readonly kind: 'failed'; readonly failure: SendFailure };
+
+const maxAnswerBytes = 16_777_216;
+
+/** Sends a request to a target and reads its whole answer, for at most `patienceMs`. */
+export const attemptExchange = async (
+  parts: RelayParts,
+  context: RequestContext,
+  candidate: Candidate,
+  patienceMs: number,
+): Promise<ExchangeResult> => {
+  const { board, clock } = parts;
+  const sentAtMs = clock.monotonicMs();
+  const timeout = AbortSignal.timeout(Math.max(1, Math.floor(patienceMs)));
+  const signal = AbortSignal.any([timeout, context.callerGone]);
+  board.onSend(candidate.key, sentAtMs);
+  try {
+    const sent = await sendToTarget(parts, context, {
+      candidate,
+      resumeAfterEventId: undefined,
+      signal,
+    });
+    if (sent.kind === 'failed') {
+      if (!context.callerGone.aborted) board.onFailure(candidate.key, clock.monotonicMs());
+      return sent;
+    }
+    const { answer } = sent.matched;
+    const read = await targetClient.readWholeBody(answer.body, candidate.address, maxAnswerBytes);
+    const nowMs = clock.monotonicMs();
+    if (!read.ok) {
+      if (!context.callerGone.aborted) board.onFailure(candidate.key, nowMs);
+      const { message } = read.error;
+      return { kind: 'failed', failure: { ran: 'unknown', message, wasRejected: false } };
+    }
+    if (answer.statusCode >= 500) board.onFailure(candidate.key, nowMs);
+    else board.onAnswer(candidate.key, nowMs - sentAtMs, nowMs);
+    const headers = answerHeadersOf(answer.headers);
+    return {
+      kind: 'answered',
+      answer: { statusCode: answer.statusCode, headers, body: read.value },
+    };
+  } finally {
+    board.onEnd(candidate.key);
+  }
+};
--- /dev/null
+++ b/packages/relay/src/attemptStream.ts
@@ -0,0 +1,186 @@
+import * as errors from '@comfreydrum/errors';
+import { answerHeadersOf } from './answerHeadersOf';
+import type { Candidate } from './chooseTarget';
+import { createEventSplitter, type StreamEvent } from './createEventSplitter';
+import { judgeSilence } from './judgeSilence';
+import type { RelayParts } from './RelayParts';
+import type { RequestContext } from './RequestContext';
+import { sendToTarget, type MatchedAnswer, type SendFailure } from './sendToTarget';
+
+/** What the caller has of a stream so far. */
+export interface StreamProgress {
+  /** The last whole event passed on. */
+  lastEventId: number | undefined;
+  lastEventAtMs: number | undefined;
+  /** How many events this response has. */
+  eventCount: number;
+}
+
+/** How one run of a stream ended. */
+export type StreamResult =
+  | { readonly kind: 'complete'; readonly statusCode: number }
+  | { readonly kind: 'failed'; readonly failure: SendFailure; readonly wasSilent: boolean };
+
+/** One run of a stream at one target. */
+export interface StreamAttempt {
+  readonly candidate: Candidate;
+  readonly progress: StreamProgress;
+  /** Whether the stream may be moved when the target falls silent; asked at each check. */
+  readonly mayMove: () => boolean;
+}
+
+/** The cause with which a run is aborted when its target falls silent. */
+class SilenceError extends Error {}
+
+/** Tells whether an event is the next one of the stream; events without ids can't be checked. */
+const isNext = ({ id }: StreamEvent, lastEventId: number | undefined): boolean =>
+  id === undefined || lastEventId === undefined || id === lastEventId + 1;
+
+/** Passes on the whole events of an answer; resolves with the fault that ended it, if any. */
+const relayEvents = (
+  parts: RelayParts,
+  context: RequestContext,
+  { candidate, progress }: StreamAttempt,
+  { answer }: MatchedAnswer,
+): Promise<string | undefined> =>
+  new Promise((resolve) => {
+    const { board, clock, metrics } = parts;
+    const { response } = context;
+    const splitter = createEventSplitter();
+    let isFirstOfRun = true;
+    const resume = () => answer.body.resume();
+
+    const settle = (fault: string | undefined) => {
+      response.off('drain', resume);
+      resolve(fault);
+    };
+
+    const noteTimes = (nowMs: number) => {
+      const { lastEventAtMs } = progress;
+      if (lastEventAtMs === undefined) metrics.firstEventMs.record(nowMs - context.arrivedAtMs);
+      else {
+        metrics.gapMs.record(nowMs - lastEventAtMs);
+        if (!isFirstOfRun) board.onGap(candidate.key, nowMs - lastEventAtMs);
+      }
+      isFirstOfRun = false;
+    };
+
+    const passOn = (events: readonly StreamEvent[]): string | undefined => {
+      const nowMs = clock.monotonicMs();
+      for (const event of events) {
+        if (!isNext(event, progress.lastEventId)) {
+          return `event ${event.id} came after event ${progress.lastEventId}`;
+        }
+        if (!response.headersSent) {
+          response.writeHead(answer.statusCode, answerHeadersOf(answer.headers));
+        }
+        if (!response.write(event.bytes)) answer.body.pause();
+        noteTimes(nowMs);
+        progress.lastEventId = event.id ?? progress.lastEventId;
+        progress.lastEventAtMs = nowMs;
+        progress.eventCount += 1;
+      }
+      return undefined;
+    };
+
+    response.on('drain', resume);
+    answer.body.read({
+      onChunks: (chunks) => {
+        board.onProgress(candidate.key, clock.monotonicMs());
+        const fault = passOn(splitter.feed(Buffer.concat(chunks)));
+        if (fault === undefined) return;
+        settle(fault);
+        answer.body.discard();
+      },
+      onEnd: (cause) => {
+        if (cause !== undefined) settle(errors.describeCause(cause));
+        else if (splitter.heldBytes() > 0) settle('the answer ended in the middle of an event');
+        else settle(undefined);
+      },
+    });
+  });
+
+/** Aborts a run once its target is judged silent; the result stops watching. */
+const watchForSilence = (
+  parts: RelayParts,
+  context: RequestContext,
+  attempt: StreamAttempt,
+  abort: AbortController,
+): (() => void) => {
+  const { candidate, progress } = attempt;
+  const { route, response } = context;
+  const sentAtMs = parts.clock.monotonicMs();
+  const stop = parts.silence.add((nowMs) => {
+    if (response.writableNeedDrain || abort.signal.aborted) return;
+    const evidence = parts.board.read(candidate.key, nowMs);
+    const hasBegun = progress.lastEventAtMs !== undefined;
+    const verdict = judgeSilence({
+      nowMs,
+      sentAtMs,
+      lastEventAtMs:
+        progress.lastEventAtMs === undefined
+          ? undefined
+          : Math.max(progress.lastEventAtMs, sentAtMs),
+      headSilentSinceMs: evidence.silentSinceMs ?? sentAtMs,
+      expectedGapMs: evidence.gapMs ?? candidate.expectedMs,
+      targetMs: hasBegun ? (route.gapTargetMs ?? route.latencyTargetMs) : route.latencyTargetMs,
+    });
+    if (verdict === 'wait' || !attempt.mayMove()) return;
+    const silentMs = Math.round(nowMs - (progress.lastEventAtMs ?? sentAtMs));
+    abort.abort(new SilenceError(`${verdict}: nothing came for ${silentMs} ms`));
+  });
+  return stop;
+};
+
+const describeAbort = (signal: AbortSignal, message: string): string =>
+  signal.reason instanceof Error ? signal.reason.message : message;
+
+/** Runs a stream at one target and passes its events on as they come. */
+export const attemptStream = async (
+  parts: RelayParts,
+  context: RequestContext,
+  attempt: StreamAttempt,
+): Promise<StreamResult> => {
+  const { board, clock } = parts;
+  const { candidate, progress } = attempt;
+  const abort = new AbortController();
+  const signal = AbortSignal.any([abort.signal, context.callerGone]);
+  const deadline = setTimeout(
+    () => abort.abort(new Error('the time limit of the request passed')),
+    Math.max(0, context.deadlineAtMs - clock.monotonicMs()),
+  );
+  const stopWatching = watchForSilence(parts, context, attempt, abort);
+  board.onSend(candidate.key, clock.monotonicMs());
+
+  const fail = (failure: SendFailure): StreamResult => {
+    const { reason } = abort.signal;
+    const wasSilent = reason instanceof SilenceError;
+    if (!context.callerGone.aborted) board.onFailure(candidate.key, clock.monotonicMs());
+    const message = describeAbort(abort.signal, failure.message);
+    return { kind: 'failed', failure: { ...failure, message }, wasSilent };
+  };
+
+  try {
+    const sent = await sendToTarget(parts, context, {
+      candidate,
+      resumeAfterEventId: progress.eventCount > 0 ? progress.lastEventId : undefined,
+      signal,
+    });
+    if (sent.kind === 'failed') return fail(sent.failure);
+    const { answer } = sent.matched;
+    if (answer.statusCode !== 200) {
+      answer.body.discard();
+      const message = `the target answered ${answer.statusCode}`;
+      return fail({ ran: 'unknown', message, wasRejected: false });
+    }
+    const fault = await relayEvents(parts, context, attempt, sent.matched);
+    if (fault !== undefined) return fail({ ran: 'unknown', message: fault, wasRejected: false });
+    const nowMs = clock.monotonicMs();
+    board.onAnswer(candidate.key, nowMs - context.arrivedAtMs, nowMs);
+    return { kind: 'complete', statusCode: answer.statusCode };
+  } finally {
+    clearTimeout(deadline);
+    stopWatching();
+    board.onEnd(candidate.key);
+  }
+};
--- /dev/null
+++ b/packages/relay/src/chooseService.ts
@@ -0,0 +1,17 @@
+import type * as fleet from '@comfreydrum/fleet';
+
+/** Draws the service of one request by the weights of its route; `fraction` is from 0 up to 1. */
+export const chooseService = (
+  plan: fleet.TrafficPlan,
+  route: fleet.Route,
+  fraction: number,
+): fleet.Service | undefined => {
+  const total = route.shares.reduce((sum, { weight }) => sum + weight, 0);
+  let left = fraction * total;
+  const drawn =
+    route.shares.find(({ weight }) => {
+      left -= weight;
+      return left < 0;
+    }) ?? route.shares[0];
+  return drawn && plan.services.get(drawn.serviceName);
+};
--- /dev/null
+++ b/packages/relay/src/createFront.ts
@@ -0,0 +1,103 @@
+import * as http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import * as tinyhttp from '@tinyhttp/app';
+import * as errors from '@comfreydrum/errors';
+import type * as lifecycle from '@comfreydrum/lifecycle';
+import type { RelayParts } from './RelayParts';
+import { serveRequest } from './serveRequest';
+
+/** The listener for callers. */
+export interface Front {
+  readonly part: lifecycle.Part;
+  readonly openRequestCount: () => number;
+  readonly isDraining: () => boolean;
+  readonly hasSeenCallers: () => boolean;
+  /** Stops being ready and asks callers to go elsewhere; requests are served as before. */
+  readonly drain: () => void;
+}
+
+/** Where callers connect, and how long a stop may take. */
+export interface FrontOptions {
+  readonly host: string;
+  readonly port: number;
+  /** How long callers are still accepted after readiness has failed. */
+  readonly noticeMs: number;
+  /** How long requests in progress may take after that. */
+  readonly drainTimeoutMs: number;
+}
+
+/** The plan's idle limit is for callers; a connection is kept a little longer so that none is cut in use. */
+const idleMarginMs = 3_000;
+const defaultIdleTimeoutMs = 15_000;
+const drainPollMs = 25;
+/** Kept connections are read for this long after the last request before they are closed. */
+const lastReadMs = 150;
+
+/** Creates the listener; it accepts callers once its part is started. */
+export const createFront = (parts: RelayParts, options: FrontOptions): Front => {
+  const { clock, log, plan } = parts;
+  let openRequestCount = 0;
+  let draining = false;
+  let seenCallers = false;
+
+  const app = new tinyhttp.App({
+    settings: { xPoweredBy: false },
+    // Requests that are passed on use none of the extensions.
+    applyExtensions: (_request, _response, next) => next(),
+    noMatchHandler: (request, response) => {
+      openRequestCount += 1;
+      seenCallers = true;
+      response.once('close', () => {
+        openRequestCount -= 1;
+      });
+      if (draining) response.setHeader('connection', 'close');
+      server.keepAliveTimeout =
+        (plan.current()?.limits.idleTimeoutMs ?? defaultIdleTimeoutMs) + idleMarginMs;
+      void serveRequest(parts, request, response);
+    },
+    onError: (cause, _request, response) => {
+      log.error({ step: 'front', cause: errors.describeCause(cause) }, 'request failed');
+      response.destroy();
+    },
+  });
+  const server: http.Server = http.createServer(
+    { keepAliveTimeout: defaultIdleTimeoutMs + idleMarginMs, noDelay: true },
+    app.handler.bind(app) as unknown as http.RequestListener,
+  );
+
+  const drain = () => {
+    if (draining) return;
+    draining = true;
+    log.info({ step: 'drain', openRequests: openRequestCount }, 'draining');
+  };
+
+  return {
+    openRequestCount: () => openRequestCount,
+    isDraining: () => draining,
+    hasSeenCallers: () => seenCallers,
+    drain,
+    part: {
+      name: 'front',
+      start: () =>
+        new Promise((resolve, reject) => {
+          server.once('error', reject);
+          server.listen(options.port, options.host, () => {
+            server.off('error', reject);
+            resolve();
+          });
+        }),
+      stop: async () => {
+        drain();
+        const startedAtMs = clock.monotonicMs();
+        await delay(options.noticeMs);
+        const lastAtMs = startedAtMs + options.noticeMs + options.drainTimeoutMs;
+        while (openRequestCount > 0 && clock.monotonicMs() < lastAtMs) await delay(drainPollMs);
+        server.close();
+        server.closeIdleConnections();
+        await delay(lastReadMs);
+        log.info({ step: 'drain', openRequests: openRequestCount }, 'drained');
+        server.closeAllConnections();
+      },
+    },
+  };
+};
--- /dev/null
+++ b/packages/relay/src/createRelay.ts
@@ -0,0 +1,121 @@
+import type * as clocks from '@comfreydrum/clock';
+import type * as fleet from '@comfreydrum/fleet';
+import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as routing from '@comfreydrum/routing';
+import * as targetClient from '@comfreydrum/target-client';
+import type * as telemetry from '@comfreydrum/telemetry';
+import type { CallerWire } from './CallerRequest';
+import { createFront, type Front, type FrontOptions } from './createFront';
+import { createRelayMetrics } from './createRelayMetrics';
+import { createSilenceWatch } from './createSilenceWatch';
+import { createTargetBoard } from './createTargetBoard';
+import { createTargetDirectory } from './createTargetDirectory';
+import type { RelayParts, Suspicion } from './RelayParts';
+import type { TargetWire } from './TargetWire';
+
+/** What a relay is built from. */
+export interface RelayOptions extends FrontOptions {
+  readonly failureDomain: string;
+  readonly localAddress: string | undefined;
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.Log;
+  readonly metrics: telemetry.Metrics;
+  readonly plan: fleet.PlanKeeper;
+  readonly targets: fleet.TargetList;
+  readonly callerWire: CallerWire;
+  readonly targetWire: TargetWire;
+  readonly random: () => number;
+  readonly daemonCount: () => number;
+  readonly keyValidityMs: number;
+  /** Repeats that the whole fleet may make for each first sending. */
+  readonly retryFraction: number;
+  /** Repeats that the whole fleet may make besides. */
+  readonly fleetRetryReserve: number;
+  readonly onSuspicion: (suspicion: Suspicion) => void;
+}
+
+/** Serves callers. */
+export interface Relay extends Front {
+  /** Tells whether callers are well served here, and why not. */
+  readonly readiness: () => { readonly ready: boolean; readonly reason: string };
+  /** Tells whether any request of a caller came since the start. */
+  readonly hasSeenCallers: () => boolean;
+}
+
+/** What daemons that are killed and start again take from the fleet's reserve twice is kept free. */
+const usedReserveFraction = 0.7;
+/** Sendings that end unseen, as when a daemon is killed, are not counted by anyone. */
+const usedRetryFraction = 0.85;
+const reserveIntervalMs = 1_000;
+
+/** Creates the relay of a daemon. */
+export const createRelay = (options: RelayOptions): Relay => {
+  const { clock, plan, targets } = options;
+  const log = options.log.child({ part: 'relay' });
+  const board = createTargetBoard();
+  const client = targetClient.createTargetClient(options.localAddress);
+  const silence = createSilenceWatch(clock);
+  const ownReserve = () =>
+    (options.fleetRetryReserve * usedReserveFraction) / Math.max(1, options.daemonCount());
+  const retries = routing.createRetryBudget({
+    fraction: options.retryFraction * usedRetryFraction,
+    reserve: ownReserve(),
+  });
+  let reserveTimer: NodeJS.Timeout | undefined;
+  const parts: RelayParts = {
+    clock,
+    log,
+    plan,
+    board,
+    client,
+    silence,
+    metrics: createRelayMetrics(options.metrics),
+    directory: createTargetDirectory({ targets, board, failureDomain: options.failureDomain }),
+    callerWire: options.callerWire,
+    targetWire: options.targetWire,
+    retries,
+    random: options.random,
+    daemonCount: options.daemonCount,
+    keyValidityMs: options.keyValidityMs,
+    onSuspicion: options.onSuspicion,
+  };
+  const front = createFront(parts, options);
+  let toldReady: boolean | undefined;
+
+  const judge = () => {
+    if (front.isDraining()) return { ready: false, reason: 'the daemon is draining' };
+    if (plan.current() === undefined) return { ready: false, reason: 'no traffic plan is known' };
+    if (!targets.isKnown()) return { ready: false, reason: 'the targets are not known yet' };
+    if (plan.ageMs() > options.keyValidityMs) {
+      return { ready: false, reason: 'the traffic plan is not proved in force' };
+    }
+    return { ready: true, reason: 'ready' };
+  };
+
+  const readiness = () => {
+    const judged = judge();
+    if (judged.ready !== toldReady) log.info({ step: 'readiness', ...judged }, 'readiness changed');
+    toldReady = judged.ready;
+    return judged;
+  };
+
+  const owned: readonly lifecycle.Part[] = [silence.part, front.part];
+  return {
+    ...front,
+    readiness,
+    hasSeenCallers: front.hasSeenCallers,
+    part: {
+      name: 'relay',
+      start: async () => {
+        for (const part of owned) await part.start?.();
+        reserveTimer = setInterval(() => retries.setReserve(ownReserve()), reserveIntervalMs);
+      },
+      stop: async () => {
+        clearInterval(reserveTimer);
+        await front.part.stop?.();
+        await silence.part.stop?.();
+        await client.close();
+      },
+    },
+  };
+};
--- /dev/null
+++ b/packages/relay/src/createRelayMetrics.ts
@@ -0,0 +1,30 @@
+import type * as telemetry from '@comfreydrum/telemetry';
+
+/** What serving requests is measured by. */
+export interface RelayMetrics {
+  readonly requests: telemetry.Counter;
+  readonly outcomes: telemetry.Counter;
+  readonly dispatches: telemetry.Counter;
+  readonly firstEventMs: telemetry.Histogram;
+  readonly gapMs: telemetry.Histogram;
+  readonly answerMs: telemetry.Histogram;
+}
+
+/** Creates the metrics; labels take the names of routes, services and causes only. */
+export const createRelayMetrics = (metrics: telemetry.Metrics): RelayMetrics => ({
+  requests: metrics.counter('comfreydrum_requests_total', 'Requests of callers.', ['route']),
+  outcomes: metrics.counter('comfreydrum_outcomes_total', 'Final answers, by their cause.', [
+    'route',
+    'outcome',
+  ]),
+  dispatches: metrics.counter('comfreydrum_dispatches_total', 'Sendings to targets.', [
+    'service',
+    'reason',
+  ]),
+  firstEventMs: metrics.histogram(
+    'comfreydrum_first_event_ms',
+    'From the arrival of a request to the first event of its answer.',
+  ),
+  gapMs: metrics.histogram('comfreydrum_event_gap_ms', 'Between two events of one stream.'),
+  answerMs: metrics.histogram('comfreydrum_answer_ms', 'From arrival to a whole answer.'),
+});
--- /dev/null
+++ b/packages/relay/src/createTargetBoard.ts
@@ -0,0 +1,118 @@
+/** What this daemon has seen of one run of a target. */
+export interface TargetEvidence {
+  readonly inFlight: number;
+  /** Since when nothing has come although something was awaited; undefined when nothing is awaited. */
+  readonly silentSinceMs: number | undefined;
+  /** Smoothed time between two events of a stream; undefined before the first pair. */
+  readonly gapMs: number | undefined;
+  /** Smoothed time to a whole answer. */
+  readonly answerMs: number | undefined;
+  /** Smoothed share of answers that failed, from 0 to 1; it fades with time. */
+  readonly failureShare: number;
+  /** Until when no new request goes there while others can take it. */
+  readonly avoidUntilMs: number;
+}
+
+/** Keeps what the requests in progress show of their targets. */
+export interface TargetBoard {
+  readonly read: (targetKey: string, nowMs: number) => TargetEvidence;
+  readonly onSend: (targetKey: string, nowMs: number) => void;
+  /** Takes the arrival of bytes of an answer. */
+  readonly onProgress: (targetKey: string, nowMs: number) => void;
+  readonly onGap: (targetKey: string, gapMs: number) => void;
+  readonly onAnswer: (targetKey: string, durationMs: number, nowMs: number) => void;
+  readonly onFailure: (targetKey: string, nowMs: number) => void;
+  readonly onEnd: (targetKey: string) => void;
+  readonly avoid: (targetKey: string, untilMs: number) => void;
+  /** Forgets targets without requests that are not among the given ones. */
+  readonly retain: (targetKeys: ReadonlySet<string>) => void;
+}
+
+interface Entry {
+  inFlight: number;
+  awaitedSinceMs: number;
+  progressAtMs: number;
+  gapMs: number | undefined;
+  answerMs: number | undefined;
+  failureShare: number;
+  failureAtMs: number;
+  avoidUntilMs: number;
+}
+
+const smoothing = 0.15;
+/** Failures lose half of their weight in this time, so that a mended target is tried again. */
+const failureHalfLifeMs = 1_500;
+
+const smooth = (before: number | undefined, sample: number): number =>
+  before === undefined ? sample : before + smoothing * (sample - before);
+
+const fade = ({ failureShare, failureAtMs }: Entry, nowMs: number): number =>
+  failureShare * 0.5 ** ((nowMs - failureAtMs) / failureHalfLifeMs);
+
+/** Creates a board without evidence. */
+export const createTargetBoard = (): TargetBoard => {
+  const entries = new Map<string, Entry>();
+
+  const entryOf = (targetKey: string): Entry => {
+    const known = entries.get(targetKey);
+    if (known !== undefined) return known;
+    const created: Entry = {
+      inFlight: 0,
+      awaitedSinceMs: 0,
+      progressAtMs: -Infinity,
+      gapMs: undefined,
+      answerMs: undefined,
+      failureShare: 0,
+      failureAtMs: 0,
+      avoidUntilMs: -Infinity,
+    };
+    entries.set(targetKey, created);
+    return created;
+  };
+
+  const addOutcome = (targetKey: string, sample: number, nowMs: number) => {
+    const entry = entryOf(targetKey);
+    entry.failureShare = smooth(fade(entry, nowMs), sample);
+    entry.failureAtMs = nowMs;
+  };
+
+  return {
+    read: (targetKey, nowMs) => {
+      const entry = entryOf(targetKey);
+      const silentSinceMs =
+        entry.inFlight === 0 ? undefined : Math.max(entry.awaitedSinceMs, entry.progressAtMs);
+      return { ...entry, silentSinceMs, failureShare: fade(entry, nowMs) };
+    },
+    onSend: (targetKey, nowMs) => {
+      const entry = entryOf(targetKey);
+      if (entry.inFlight === 0) entry.awaitedSinceMs = nowMs;
+      entry.inFlight += 1;
+    },
+    onProgress: (targetKey, nowMs) => {
+      entryOf(targetKey).progressAtMs = nowMs;
+    },
+    onGap: (targetKey, gapMs) => {
+      const entry = entryOf(targetKey);
+      entry.gapMs = smooth(entry.gapMs, gapMs);
+    },
+    onAnswer: (targetKey, durationMs, nowMs) => {
+      const entry = entryOf(targetKey);
+      entry.answerMs = smooth(entry.answerMs, durationMs);
+      addOutcome(targetKey, 0, nowMs);
+    },
+    onFailure: (targetKey, nowMs) => addOutcome(targetKey, 1, nowMs),
+    onEnd: (targetKey) => {
+      const entry = entryOf(targetKey);
+      entry.inFlight = Math.max(0, entry.inFlight - 1);
+    },
+    avoid: (targetKey, untilMs) => {
+      const entry = entryOf(targetKey);
+      entry.avoidUntilMs = Math.max(entry.avoidUntilMs, untilMs);
+    },
+    retain: (targetKeys) => {
+      [...entries]
+        .filter(([key, { inFlight }]) => inFlight === 0 && !targetKeys.has(key))
+        .forEach(([key]) => entries.delete(key));
+    },
+  };
+};
--- /dev/null
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -0,0 +1,106 @@
+import * as fleet from '@comfreydrum/fleet';
+import type { Candidate } from './chooseTarget';
+import type { TargetBoard } from './createTargetBoard';
+
+/** Finds the targets that may take a request now. */
+export interface TargetDirectory {
+  /** Gives the heads of the whole groups that serve a model. */
+  readonly groupHeads: (
+    service: fleet.Service,
+    modelName: string | undefined,
+    nowMs: number,
+  ) => readonly Candidate[];
+  /** Gives the live targets of a service whose targets work alone. */
+  readonly loneTargets: (service: fleet.Service, nowMs: number) => readonly Candidate[];
+}
+
+/** What finding targets needs. */
+export interface TargetDirectoryOptions {
+  readonly targets: fleet.TargetList;
+  readonly board: TargetBoard;
+  readonly failureDomain: string;
+}
+
+/** What a target that works alone is expected to take for an answer. */
+const expectedAnswerMs = 60;
+
+const findModel = (service: fleet.Service, modelName: string) =>
+  service.engine?.models.find(({ name }) => name === modelName);
+
+/** A group serves while its head is open and every member is listed and stays. */
+const isServing = (group: fleet.Group, service: fleet.Service): boolean => {
+  const model = findModel(service, group.modelName);
+  return (
+    group.head?.serviceName === service.name &&
+    group.head.membership.state === 'open' &&
+    group.members.length === model?.groupSize &&
+    group.members.every(({ state }) => state === 'live')
+  );
+};
+
+/** Gives the time between two events of a stream in a batch that is half full. */
+const expectedGapMs = (engine: fleet.EngineProfile, model: fleet.ServedModel): number =>
+  (engine.stepMs + (engine.stepMsPerRequest * engine.slotsPerGroup) / 2) *
+  engine.stepsPerEvent *
+  model.paceFactor;
+
+/** Creates a directory over the list of targets. */
+export const createTargetDirectory = (options: TargetDirectoryOptions): TargetDirectory => {
+  const { targets, board, failureDomain } = options;
+  let readVersion = -1;
+  let groups: readonly fleet.Group[] = [];
+
+  const currentGroups = () => {
+    if (readVersion === targets.version()) return groups;
+    readVersion = targets.version();
+    groups = fleet.groupsOf(targets.all().values());
+    board.retain(new Set([...targets.all().values()].map(fleet.runKeyOf)));
+    return groups;
+  };
+
+  const toCandidate = (
+    target: fleet.Target,
+    facts: Pick<Candidate, 'groupKey' | 'slots' | 'expectedMs'>,
+    nowMs: number,
+  ): Candidate => {
+    const key = fleet.runKeyOf(target);
+    return {
+      ...facts,
+      key,
+      targetId: target.id,
+      address: target.address,
+      isSameDomain: target.failureDomain === failureDomain,
+      evidence: board.read(key, nowMs),
+    };
+  };
+
+  return {
+    groupHeads: (service, modelName, nowMs) => {
+      const { engine } = service;
+      if (engine === undefined) return [];
+      return currentGroups().flatMap((group) => {
+        if (modelName !== undefined && group.modelName !== modelName) return [];
+        const model = findModel(service, group.modelName);
+        if (model === undefined || !isServing(group, service)) return [];
+        const facts = {
+          groupKey: group.key,
+          slots: engine.slotsPerGroup,
+          expectedMs: expectedGapMs(engine, model),
+        };
+        return [toCandidate(group.head!, facts, nowMs)];
+      });
+    },
+    loneTargets: (service, nowMs) => {
+      currentGroups();
+      return [...targets.all().values()]
+        .filter(({ serviceName, state }) => serviceName === service.name && state === 'live')
+        .map((target) =>
+          toCandidate(
+            target,
+            { groupKey: undefined, slots: target.slots, expectedMs: expectedAnswerMs },
+            nowMs,
+          ),
+        );
+    },
+  };
+};
--- /dev/null
+++ b/packages/relay/src/judgeSilence.ts
@@ -0,0 +1,42 @@
+/** What is known when a stream has brought nothing for a while. */
+export interface SilenceQuestion {
+  readonly nowMs: number;
+  readonly sentAtMs: number;
+  /** When the last event came; undefined before the first. */
+  readonly lastEventAtMs: number | undefined;
+  /** Since when no stream of the same head has brought anything. */
+  readonly headSilentSinceMs: number;
+  /** The usual time between two events at this head. */
+  readonly expectedGapMs: number;
+  /** The time in which the next event is still on time. */
+  readonly targetMs: number;
+}
+
+export type SilenceVerdict = 'wait' | 'head-silent' | 'stream-hangs';
+
+/** Steps of a pass may take this many times longer while prompts are read. */
+const silentGaps = 3.5;
+/** Links with delay and the reading of a long prompt fit into this. */
+const minSilenceMs = 110;
+/** A head is given at most this part of the time in which the next event is on time. */
+const targetFraction = 0.6;
+/** A stream that others of its head overtake for so long is not only waiting its turn. */
+const hangMs = 1_200;
+
+/**
+ * Judges whether a stream should go on elsewhere. A head with a dead or cut-off member stands still for all
+ * of its streams at once and says nothing; one stream alone may also wait its turn.
+ *
+ * Answers the load of groups that lose members while their batches are not over-full.
+ */
+export const judgeSilence = (question: SilenceQuestion): SilenceVerdict => {
+  const { nowMs, sentAtMs, lastEventAtMs, headSilentSinceMs, expectedGapMs, targetMs } = question;
+  const streamSilentMs = nowMs - (lastEventAtMs ?? sentAtMs);
+  const headSilentMs = Math.min(streamSilentMs, nowMs - headSilentSinceMs);
+  const limitMs = Math.max(
+    minSilenceMs,
+    Math.min(silentGaps * expectedGapMs, targetFraction * targetMs),
+  );
+  if (headSilentMs >= limitMs) return 'head-silent';
+  return streamSilentMs >= hangMs ? 'stream-hangs' : 'wait';
+};
--- /dev/null
+++ b/packages/relay/src/sendToTarget.ts
@@ -0,0 +1,82 @@
+import type * as errors from '@comfreydrum/errors';
+import type * as targetClient from '@comfreydrum/target-client';
+import type { Candidate } from './chooseTarget';
+import type { RelayParts } from './RelayParts';
+import type { RequestContext } from './RequestContext';
+import type { AnswerFacts } from './TargetWire';
+
+/** The head of a target's answer to this very request. */
+export interface MatchedAnswer {
+  readonly answer: targetClient.TargetAnswer;
+  readonly facts: AnswerFacts;
+}
+
+/** Why a sending brought no answer that can be used. */
+export interface SendFailure {
+  readonly ran: 'not-run' | 'unknown';
+  readonly message: string;
+  /** Whether the target itself answered that it does not take the request. */
+  readonly wasRejected: boolean;
+  readonly faultyTargetId?: string | undefined;
+}
+
+/** One sending and where the answer goes on from. */
+export interface Sending {
+  readonly candidate: Candidate;
+  readonly resumeAfterEventId: number | undefined;
+  readonly signal: AbortSignal;
+}
+
+export type SendResult =
+  | { readonly kind: 'answer'; readonly matched: MatchedAnswer }
+  | { readonly kind: 'failed'; readonly failure: SendFailure };
+
+const failed = (failure: SendFailure): SendResult => ({ kind: 'failed', failure });
+
+type Sent = errors.Result<targetClient.TargetAnswer, targetClient.TargetFailure>;
+
+const readSent = (parts: RelayParts, context: RequestContext, sent: Sent): SendResult => {
+  if (!sent.ok) {
+    const { ran, message } = sent.error;
+    return failed({ ran, message, wasRejected: false });
+  }
+  const answer = sent.value;
+  const facts = parts.targetWire.readAnswer(answer.statusCode, answer.headers);
+  if (facts.requestId !== undefined && facts.requestId !== context.request.requestId) {
+    answer.body.discard();
+    const message = `the target answered request ${facts.requestId} instead`;
+    return failed({ ran: 'unknown', message, wasRejected: false });
+  }
+  if (facts.provesNotRun) {
+    answer.body.discard();
+    const message = `the target refused with status ${answer.statusCode}`;
+    const { faultyTargetId } = facts;
+    return failed({ ran: 'not-run', message, wasRejected: true, faultyTargetId });
+  }
+  return { kind: 'answer', matched: { answer, facts } };
+};
+
+/** Sends a request to one target and reads the head of the answer. */
+export const sendToTarget = async (
+  parts: RelayParts,
+  context: RequestContext,
+  { candidate, resumeAfterEventId, signal }: Sending,
+): Promise<SendResult> => {
+  const { request } = context;
+  const remainingMs = Math.floor(context.deadlineAtMs - parts.clock.monotonicMs());
+  const sent = await parts.client.send({
+    url: `http://${candidate.address}`,
+    path: request.url,
+    method: request.method as 'GET',
+    headers: parts.targetWire.requestHeaders(request, {
+      targetId: candidate.targetId,
+      customerName: context.customerName,
+      remainingMs: Math.max(1, remainingMs),
+      resumeAfterEventId,
+    }),
+    body: context.body,
+    signal,
+    mayWrite: context.mayStillRun,
+  });
+  return readSent(parts, context, sent);
+};
--- /dev/null
+++ b/packages/relay/src/serveExchange.ts
@@ -0,0 +1,140 @@
+import { attemptExchange, type WholeAnswer } from './attemptExchange';
+import { chooseTarget, type Candidate } from './chooseTarget';
+import { refuseNotRun, reportFailure, type Refusal } from './Refusal';
+import type { RelayParts } from './RelayParts';
+import type { RequestContext } from './RequestContext';
+import type { SendFailure } from './sendToTarget';
+
+/** How a request ended, for the log; a refusal is still to be written. */
+export type ServeResult =
+  | { readonly kind: 'answered'; readonly statusCode: number }
+  | { readonly kind: 'caller-gone' }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** How often one request may be sent to targets that turn it away. */
+const maxRejections = 3;
+/** A repeatable request waits this part of its latency target for one target while another is left. */
+const patienceFraction = 0.7;
+const minPatienceMs = 60;
+/** When a caller may come back after a failure that was proved not to have run. */
+const rejectedRetryAfterMs = 100;
+const noTargetRetryAfterMs = 300;
+
+const writeAnswer = ({ response }: RequestContext, answer: WholeAnswer) => {
+  const { statusCode, headers, body } = answer;
+  response.writeHead(statusCode, { ...headers, 'content-length': body.length });
+  response.end(body);
+};
+
+/** Serves a request whose answer is whole: one target after another, as far as its kind allows. */
+export const serveExchange = async (
+  parts: RelayParts,
+  context: RequestContext,
+): Promise<ServeResult> => {
+  const { clock, retries, log } = parts;
+  const { route, request, service } = context;
+  const isIdempotent = route.kind === 'idempotent';
+  const tried = new Set<string>();
+  let runCount = 0;
+  let rejectionCount = 0;
+  let failure: SendFailure | undefined;
+  let failedAnswer: WholeAnswer | undefined;
+
+  const choose = (nowMs: number): Candidate | undefined => {
+    const all = parts.directory.loneTargets(service, nowMs);
+    const untried = all.filter(({ key }) => !tried.has(key));
+    return chooseTarget(untried, {
+      nowMs,
+      daemonsPerTarget: parts.daemonCount(),
+      random: parts.random,
+    });
+  };
+
+  const mayTryAgain = (nowMs: number, candidate: Candidate): boolean => {
+    if (runCount >= route.maxTargets || rejectionCount > maxRejections) return false;
+    const decision = retries.tryRetry(
+      {
+        targetId: candidate.key,
+        triedIds: tried,
+        deadlineAtMs: context.deadlineAtMs,
+        expectedMs: candidate.expectedMs,
+      },
+      nowMs,
+    );
+    return decision.kind === 'allowed';
+  };
+
+  const giveUp = (): ServeResult => {
+    if (failedAnswer !== undefined) {
+      writeAnswer(context, failedAnswer);
+      return { kind: 'answered', statusCode: failedAnswer.statusCode };
+    }
+    const refusal =
+      runCount === 0
+        ? refuseNotRun(
+            tried.size === 0 ? 'no-target' : 'targets-refused',
+            failure?.message ?? `no target of service ${service.name} is live`,
+            tried.size === 0 ? noTargetRetryAfterMs : rejectedRetryAfterMs,
+          )
+        : reportFailure(
+            clock.monotonicMs() >= context.deadlineAtMs ? 'timeout' : 'target-failed',
+            failure?.message ?? 'no target gave an answer',
+          );
+    return { kind: 'refused', refusal };
+  };
+
+  for (;;) {
+    const nowMs = clock.monotonicMs();
+    const candidate = choose(nowMs);
+    if (candidate === undefined) return giveUp();
+    if (tried.size > 0 && !mayTryAgain(nowMs, candidate)) return giveUp();
+    const remainingMs = context.deadlineAtMs - nowMs;
+    if (remainingMs <= 0) return giveUp();
+    const isLast = !isIdempotent || runCount + 1 >= route.maxTargets;
+    const patienceMs = isLast
+      ? remainingMs
+      : Math.min(remainingMs, Math.max(minPatienceMs, route.latencyTargetMs * patienceFraction));
+    tried.add(candidate.key);
+    log.debug(
+      { requestId: request.requestId, step: 'dispatch', targetId: candidate.targetId, patienceMs },
+      'request sent to target',
+    );
+    parts.metrics.dispatches.add({
+      service: service.name,
+      reason: tried.size === 1 ? 'first' : 'retry',
+    });
+    const result = await attemptExchange(parts, context, candidate, patienceMs);
+    if (context.callerGone.aborted) return { kind: 'caller-gone' };
+    if (result.kind === 'answered') {
+      const { answer } = result;
+      if (answer.statusCode < 500) {
+        writeAnswer(context, answer);
+        return { kind: 'answered', statusCode: answer.statusCode };
+      }
+      runCount += 1;
+      // A status that promises "not run" without the target's proof may not reach the caller.
+      if (answer.statusCode !== 503) failedAnswer = answer;
+      failure = {
+        ran: 'unknown',
+        message: `target ${candidate.targetId} answered ${answer.statusCode}`,
+        wasRejected: false,
+      };
+    } else {
+      failure = result.failure;
+      if (failure.ran === 'unknown') runCount += 1;
+      if (failure.wasRejected) rejectionCount += 1;
+    }
+    log.info(
+      {
+        requestId: request.requestId,
+        step: 'dispatch',
+        peer: candidate.address,
+        targetId: candidate.targetId,
+        ran: failure.ran,
+        afterMs: Math.round(clock.monotonicMs() - nowMs),
+      },
+      failure.message,
+    );
+    if (failure.ran === 'unknown' && !isIdempotent) return giveUp();
+  }
+};
--- /dev/null
+++ b/packages/relay/src/serveRequest.ts
@@ -0,0 +1,155 @@
+import type * as http from 'node:http';
+import * as errors from '@comfreydrum/errors';
+import * as fleet from '@comfreydrum/fleet';
+import type { CallerRequest } from './CallerRequest';
+import { chooseService } from './chooseService';
+import { readBody } from './readBody';
+import { refuseNotRun, type Refusal } from './Refusal';
+import type { RelayParts } from './RelayParts';
+import type { RequestContext } from './RequestContext';
+import { serveExchange, type ServeResult } from './serveExchange';
+import { serveStream } from './serveStream';
+import { writeRefusal } from './writeRefusal';
+
+/** A plan this old is asked for anew before a caller is told that a route or key does not exist. */
+const denialAgeMs = 4_000;
+const noPlanRetryAfterMs = 500;
+const stalePlanRetryAfterMs = 700;
+
+const refused = (refusal: Refusal): ServeResult => ({ kind: 'refused', refusal });
+
+const stale = (parts: RelayParts): ServeResult =>
+  refused(
+    refuseNotRun(
+      'plan-out-of-date',
+      `the traffic plan was last proved in force ${Math.round(parts.plan.ageMs())} ms ago`,
+      stalePlanRetryAfterMs,
+    ),
+  );
+
+const deny = (cause: 'no-route' | 'unknown-key', statusCode: number, message: string) =>
+  refused({ cause, statusCode, ran: 'not-run', message });
+
+type Admission =
+  | { readonly kind: 'admitted'; readonly route: fleet.Route; readonly customerName?: string }
+  | { readonly kind: 'ended'; readonly result: ServeResult };
+
+const end = (result: ServeResult): Admission => ({ kind: 'ended', result });
+
+/** Finds the route and the customer of a request; a denial needs proof that the plan is in force. */
+const admit = async (parts: RelayParts, request: CallerRequest): Promise<Admission> => {
+  const plan = parts.plan.current();
+  if (plan === undefined) {
+    return end(refused(refuseNotRun('no-plan', 'no traffic plan is known yet', noPlanRetryAfterMs)));
+  }
+  const route = fleet.findRoute(plan, request.host, request.path);
+  if (route === undefined) {
+    if (!(await parts.plan.ensureFresh(denialAgeMs))) return end(stale(parts));
+    return end(deny('no-route', 404, `no route of ${request.host} serves ${request.path}`));
+  }
+  if (route.isPublic || plan.customersByKey === undefined) return { kind: 'admitted', route };
+  if (!(await parts.plan.ensureFresh(parts.keyValidityMs))) return end(stale(parts));
+  const fresh = parts.plan.current() ?? plan;
+  const customer = request.key === undefined ? undefined : fresh.customersByKey?.get(request.key);
+  if (customer !== undefined) return { kind: 'admitted', route, customerName: customer.name };
+  return end(deny('unknown-key', 401, 'header Authorization: no customer has this key'));
+};
+
+/** Tells, at the moment of sending, whether the caller's key is still proved good. */
+const createKeyCheck = (parts: RelayParts, request: CallerRequest, needsKey: boolean) => () => {
+  if (!needsKey) return true;
+  if (parts.plan.ageMs() > parts.keyValidityMs) return false;
+  return parts.plan.current()?.customersByKey?.has(request.key ?? '') ?? false;
+};
+
+const serve = async (
+  parts: RelayParts,
+  request: CallerRequest,
+  message: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<ServeResult> => {
+  const arrivedAtMs = parts.clock.monotonicMs();
+  const gone = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) gone.abort(new Error('the caller closed the connection'));
+  });
+  const admission = await admit(parts, request);
+  if (admission.kind === 'ended') return admission.result;
+  const { route, customerName } = admission;
+  const plan = parts.plan.current()!;
+  const body = await readBody(message, plan.limits);
+  if (body.kind !== 'body') return body;
+  const service = chooseService(plan, route, parts.random());
+  if (service === undefined) {
+    const text = `route ${route.name} names no service of revision ${plan.revision}`;
+    return refused(refuseNotRun('no-target', text, noPlanRetryAfterMs));
+  }
+  const waitsMs = Math.min(route.timeoutMs, request.timeLimitMs ?? Infinity);
+  const context: RequestContext = {
+    request,
+    route,
+    service,
+    customerName,
+    body: body.bytes,
+    response,
+    arrivedAtMs,
+    deadlineAtMs: arrivedAtMs + waitsMs,
+    callerGone: gone.signal,
+    mayStillRun: createKeyCheck(parts, request, customerName !== undefined),
+  };
+  parts.metrics.requests.add({ route: route.name });
+  parts.retries.onFirstTry();
+  const result =
+    route.kind === 'stream' ? await serveStream(parts, context) : await serveExchange(parts, context);
+  const outcome = result.kind === 'refused' ? result.refusal.cause : result.kind;
+  parts.metrics.outcomes.add({ route: route.name, outcome });
+  if (result.kind === 'answered') {
+    parts.metrics.answerMs.record(parts.clock.monotonicMs() - arrivedAtMs);
+  }
+  return result;
+};
+
+const describe = (result: ServeResult): Readonly<Record<string, unknown>> => {
+  if (result.kind !== 'refused') return result;
+  const { cause, statusCode, ran, message, retryAfterMs } = result.refusal;
+  return { kind: result.kind, cause, statusCode, ran, message, retryAfterMs };
+};
+
+/** Serves one request of a caller, from its head to its final answer; never rejects. */
+export const serveRequest = async (
+  parts: RelayParts,
+  message: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> => {
+  const { log, callerWire, clock } = parts;
+  const arrivedAtMs = clock.monotonicMs();
+  const request = callerWire.readRequest(message);
+  let result: ServeResult;
+  try {
+    result = await serve(parts, request, message, response);
+  } catch (cause) {
+    log.error(
+      { requestId: request.requestId, step: 'serve', cause: errors.describeCause(cause) },
+      'serving a request failed',
+    );
+    const text = 'the daemon failed while it served the request';
+    result = refused({ cause: 'internal', statusCode: 502, ran: 'unknown', message: text });
+  }
+  if (result.kind === 'refused') {
+    writeRefusal(response, result.refusal, callerWire.answerHeaders(request));
+  }
+  const plan = parts.plan.current();
+  log.info(
+    {
+      requestId: request.requestId,
+      step: 'request',
+      path: request.path,
+      model: request.modelName,
+      tookMs: Math.round(clock.monotonicMs() - arrivedAtMs),
+      planRevision: plan?.revision,
+      planAgeMs: Math.round(parts.plan.ageMs()),
+      ...describe(result),
+    },
+    'request ended',
+  );
+};
--- /dev/null
+++ b/packages/relay/src/serveStream.ts
@@ -0,0 +1,139 @@
+import type * as routing from '@comfreydrum/routing';
+import { attemptStream, type StreamProgress, type StreamResult } from './attemptStream';
+import { chooseTarget, type Candidate } from './chooseTarget';
+import { refuseNotRun, reportFailure, type Refusal } from './Refusal';
+import type { RelayParts } from './RelayParts';
+import type { RequestContext } from './RequestContext';
+import type { ServeResult } from './serveExchange';
+
+/** How often one request may be sent to heads that turn it away. */
+const maxRejections = 4;
+/** A head that fell silent gets no new work for this long unless it is the only one. */
+const avoidSilentMs = 2_500;
+/** A head that turned a request away is full for about this long. */
+const avoidFullMs = 150;
+/** Groups join within a second or two from staged weights. */
+const noGroupRetryAfterMs = 1_200;
+const fullRetryAfterMs = 500;
+const sendableMs = 20;
+
+/** Serves a request whose answer is a stream; it goes on at another head where one breaks off. */
+export const serveStream = async (
+  parts: RelayParts,
+  context: RequestContext,
+): Promise<ServeResult> => {
+  const { clock, board, log, retries } = parts;
+  const { route, request, service, response } = context;
+  const progress: StreamProgress = {
+    lastEventId: request.lastEventId,
+    lastEventAtMs: undefined,
+    eventCount: 0,
+  };
+  const tried = new Set<string>();
+  let runCount = 0;
+  let rejectionCount = 0;
+  let message = `no group serves model ${request.modelName} of service ${service.name}`;
+
+  const choose = (nowMs: number): Candidate | undefined =>
+    chooseTarget(
+      parts.directory
+        .groupHeads(service, request.modelName, nowMs)
+        .filter(({ key }) => !tried.has(key)),
+      { nowMs, daemonsPerTarget: 1, random: parts.random },
+    );
+
+  const retryAt = (candidate: Candidate, nowMs: number): routing.RetryDecision =>
+    retries.tryRetry(
+      {
+        targetId: candidate.key,
+        triedIds: tried,
+        deadlineAtMs: context.deadlineAtMs,
+        expectedMs: candidate.expectedMs,
+      },
+      nowMs,
+    );
+
+  /** A run may end early for another only where both can be afforded. */
+  const mayMove = () =>
+    route.isResumable &&
+    runCount + 1 < route.maxTargets &&
+    choose(clock.monotonicMs()) !== undefined;
+
+  const explain = (): Refusal => {
+    if (clock.monotonicMs() >= context.deadlineAtMs) return reportFailure('timeout', message);
+    if (runCount > 0) return reportFailure('target-failed', message);
+    if (tried.size === 0) return refuseNotRun('no-group', message, noGroupRetryAfterMs);
+    return refuseNotRun('targets-refused', message, fullRetryAfterMs);
+  };
+
+  const noteFailure = (
+    candidate: Candidate,
+    { failure, wasSilent }: Extract<StreamResult, { kind: 'failed' }>,
+    sentAtMs: number,
+  ) => {
+    const nowMs = clock.monotonicMs();
+    message = `target ${candidate.targetId}: ${failure.message}`;
+    if (failure.ran === 'unknown') runCount += 1;
+    if (failure.wasRejected) rejectionCount += 1;
+    if (wasSilent) board.avoid(candidate.key, nowMs + avoidSilentMs);
+    if (failure.wasRejected) board.avoid(candidate.key, nowMs + avoidFullMs);
+    const suspect = failure.faultyTargetId ?? candidate.targetId;
+    if (wasSilent || failure.faultyTargetId !== undefined || !failure.wasRejected) {
+      parts.onSuspicion({ targetId: suspect, groupKey: candidate.groupKey });
+    }
+    log.info(
+      {
+        requestId: request.requestId,
+        step: 'stream',
+        peer: candidate.address,
+        targetId: candidate.targetId,
+        group: candidate.groupKey,
+        ran: failure.ran,
+        events: progress.eventCount,
+        lastEventId: progress.lastEventId,
+        afterMs: Math.round(nowMs - sentAtMs),
+      },
+      message,
+    );
+  };
+
+  for (;;) {
+    const nowMs = clock.monotonicMs();
+    const candidate = choose(nowMs);
+    if (candidate === undefined) return { kind: 'refused', refusal: explain() };
+    const isRetry = tried.size > 0;
+    if (isRetry) {
+      const mayRepeat = runCount === 0 || (route.isResumable && runCount < route.maxTargets);
+      if (!mayRepeat || rejectionCount > maxRejections) {
+        return { kind: 'refused', refusal: explain() };
+      }
+      const decision = retryAt(candidate, nowMs);
+      if (decision.kind === 'denied') {
+        message = `${message}; not sent again: ${decision.reason}`;
+        return { kind: 'refused', refusal: explain() };
+      }
+    }
+    if (context.deadlineAtMs - nowMs < sendableMs) return { kind: 'refused', refusal: explain() };
+    tried.add(candidate.key);
+    log.debug(
+      {
+        requestId: request.requestId,
+        step: 'dispatch',
+        targetId: candidate.targetId,
+        group: candidate.groupKey,
+        inFlight: candidate.evidence.inFlight,
+        resumeAfterEventId: progress.lastEventId,
+      },
+      'request sent to group',
+    );
+    parts.metrics.dispatches.add({ service: service.name, reason: isRetry ? 'retry' : 'first' });
+    const result = await attemptStream(parts, context, { candidate, progress, mayMove });
+    if (context.callerGone.aborted) return { kind: 'caller-gone' };
+    if (result.kind === 'complete') {
+      if (!response.headersSent) response.writeHead(result.statusCode);
+      response.end();
+      return { kind: 'answered', statusCode: result.statusCode };
+    }
+    noteFailure(candidate, result, nowMs);
+  }
+};
--- a/packages/routing/src/createRetryBudget.ts
+++ b/packages/routing/src/createRetryBudget.ts
@@ -27,14 +27,15 @@
   /** Takes one retry out of the budget when it is allowed. */
   readonly tryRetry: (question: RetryQuestion, nowMs: number) => RetryDecision;
   readonly setFraction: (fraction: number) => void;
+  /** Changes how many retries may be saved up. */
+  readonly setReserve: (reserve: number) => void;
 }
 
 const defaultReserve = 10;
 
 /** Creates a budget that holds its whole reserve. */
 export const createRetryBudget = (options: RetryBudgetOptions): RetryBudget => {
-  const { reserve = defaultReserve } = options;
-  let { fraction } = options;
+  let { fraction, reserve = defaultReserve } = options;
   let balance = reserve;
 
   return {
@@ -55,5 +56,9 @@
     setFraction: (nextFraction) => {
       fraction = nextFraction;
     },
+    setReserve: (nextReserve) => {
+      reserve = nextReserve;
+      balance = Math.min(balance, reserve);
+    },
   };
 };
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,5 +1,8 @@
 export { ledgerSettingsSchema, type LedgerSettings } from './ledgerSettingsSchema';
-export { loadSettings, type SettingsFailure } from './loadSettings';
+export { loadRelaySettings } from './loadRelaySettings';
+export { loadSettings, settingsFileVariable } from './loadSettings';
+export type { SettingsFailure } from './readSettingsFile';
 export { readTls, type TlsFailure, type TlsFiles, type TlsMaterial } from './readTls';
 export { readTokens, type TokenFailure, type TokenFault } from './readTokens';
+export { relaySettingsSchema, type RelaySettings } from './relaySettingsSchema';
 export { settingsSchema, type Settings } from './settingsSchema';
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -1,13 +1,12 @@
-import { readFile } from 'node:fs/promises';
 import * as errors from '@comfreydrum/errors';
+import { failSettings, readSettingsFile, type SettingsFailure } from './readSettingsFile';
 import { readTls } from './readTls';
 import { readTokens } from './readTokens';
 import { settingsSchema, type Settings } from './settingsSchema';
 
-/** Why settings were refused; the message has a line for each fault with file, path and expectation. */
-export type SettingsFailure = errors.Failure<'settings-unreadable' | 'settings-invalid'>;
-
 const overridePrefix = 'COMFREYDRUM_';
+/** Names the settings file itself, so it overrides none of its fields. */
+export const settingsFileVariable = 'COMFREYDRUM_CONFIG';
 
 const parseOverride = (text: string): unknown => {
   try {
@@ -34,7 +33,10 @@
 
 const applyEnvironment = (document: unknown, environment: NodeJS.ProcessEnv): unknown =>
   Object.entries(environment)
-    .filter(([name, value]) => name.startsWith(overridePrefix) && value !== undefined)
+    .filter(
+      ([name, value]) =>
+        name.startsWith(overridePrefix) && name !== settingsFileVariable && value !== undefined,
+    )
     .reduce(
       (merged, [name, value]) =>
         withOverride(merged, name.slice(overridePrefix.length).split('__'), parseOverride(value!)),
@@ -63,27 +65,13 @@
   file: string,
   environment: NodeJS.ProcessEnv = process.env,
 ): Promise<errors.Result<Settings, SettingsFailure>> => {
-  const fail = (kind: SettingsFailure['kind'], message: string) =>
-    errors.err<SettingsFailure>({ kind, step: 'load settings', peer: file, message });
-
-  let text: string;
-  try {
-    text = await readFile(file, 'utf8');
-  } catch (cause) {
-    return fail('settings-unreadable', `${file}: ${errors.describeCause(cause)}`);
-  }
-
-  let document: unknown;
-  try {
-    document = JSON.parse(text);
-  } catch (cause) {
-    return fail('settings-invalid', `${file}: not JSON: ${errors.describeCause(cause)}`);
-  }
+  const read = await readSettingsFile(file);
+  if (!read.ok) return read;
 
-  const checked = settingsSchema.safeParse(applyEnvironment(document, environment));
+  const checked = settingsSchema.safeParse(applyEnvironment(read.value, environment));
   const faults = checked.success
     ? [...findTlsFaults(checked.data), ...findTokenFaults(checked.data)]
     : errors.describeIssues(checked.error.issues);
   if (checked.success && faults.length === 0) return errors.ok(checked.data);
-  return fail('settings-invalid', faults.map((line) => `${file} ${line}`).join('\n'));
+  return failSettings(file, 'settings-invalid', faults.map((line) => `${file} ${line}`).join('\n'));
 };
--- a/packages/target-client/src/createTargetClient.ts
+++ b/packages/target-client/src/createTargetClient.ts
@@ -53,7 +53,7 @@
   return {
     send: async ({ url, path, method, headers, body, signal, mayWrite = () => true }) => {
       let mayHaveRun = false;
-      const sentHeaders = Array.isArray(headers) ? [...headers] : headers;
+      const sentHeaders = Symbol.iterator in headers ? [...headers] : headers;
       const options = { origin: url, path, method, headers: sentHeaders, body };
       const checkWrite = () => {
         const may = mayWrite();
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,4 +1,10 @@
-export { createLog, type Log } from './createLog';
+export {
+  createBufferedLog,
+  createLog,
+  type BufferedLog,
+  type Log,
+  type LogOptions,
+} from './createLog';
 export { createMetrics, type Metrics, type Histogram, type Counter } from './createMetrics';
 export {
   createTimeline,
