Keep members of a headless group until several daemons fail to reach the head

Now the head's entry must be gone and no daemon may reach it. Groups that were closed, or formed under another token, are formed anew, never opened again.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -81,7 +81,11 @@
     keyValidityMs: keys.revocationMs - keyMarginMs,
     retryFraction: retries.fraction,
     fleetRetryReserve: retries.reserve,
-    onSuspicion: (suspicion) => container.resolve(relayTokens.formation).suspect(suspicion),
+    suspicions: {
+      suspect: (targetId) =>
+        container.resolve(relayTokens.formation).suspect({ targetId, isSilent: false }),
+      confirmLoss: (groupKey) => container.resolve(relayTokens.formation).confirmLoss(groupKey),
+    },
   });
 };
 
--- a/apps/comfreydrumd/src/relay/runRelayDaemon.ts
+++ b/apps/comfreydrumd/src/relay/runRelayDaemon.ts
@@ -68,6 +68,7 @@
 
   const stop = async (signal: string) => {
     log.info({ step: 'stop', signal }, 'stopping');
+    relay.drain();
     await owner.stop();
     log.info({ step: 'stop' }, 'stopped');
     buffered.flush();
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -6,22 +6,27 @@
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
 import type { Lease } from './createLease';
+import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
+import { createMemberCheck } from './createMemberCheck';
 import { createOrderBook } from './createOrderBook';
 import type { FormationStep } from './FormationStep';
 import { planFormation } from './planFormation';
 import type { OrderOutcome, TargetOrders } from './TargetOrders';
 
-/** A target or group that a request showed to be failing. */
+/** A target that a request showed to be failing. */
 export interface Suspicion {
   readonly targetId: string;
-  readonly groupKey: string | undefined;
+  /** Whether it was asked and did not answer. */
+  readonly isSilent: boolean;
 }
 
 /** Forms and mends groups while this daemon holds the lease. */
 export interface Formation {
   /** Takes a suspicion of this daemon, and passes it on when another one is the controller. */
   readonly suspect: (suspicion: Suspicion) => void;
+  /** Asks the members of a silent group; true when one does not answer, which the controller is told. */
+  readonly confirmLoss: (groupKey: string) => Promise<boolean>;
   readonly part: lifecycle.Part;
 }
 
@@ -49,7 +54,7 @@
 /** Epochs of one holder of the lease; its token is the higher part. */
 const epochsPerToken = 10_000;
 
-const suspicionSchema = zod.object({ targetId: zod.string(), groupKey: zod.string().optional() });
+const suspicionSchema = zod.object({ targetId: zod.string(), isSilent: zod.boolean() });
 
 /** Creates the formation of a daemon. */
 export const createFormation = (options: FormationOptions): Formation => {
@@ -76,6 +81,17 @@
   };
 
   const detector = createLossDetector({ clock, log, orders, onChange: schedule });
+  const memberCheck = createMemberCheck({ clock, targets, orders });
+  const headCheck = createHeadCheck({
+    clock,
+    log,
+    orders,
+    calls,
+    peerAddresses: lease.peerAddresses,
+    onChange: schedule,
+  });
+  /** Groups that this daemon closed; they are formed anew rather than opened again. */
+  const closedKeys = new Set<string>();
 
   const noteOutcome = (
     target: fleet.Target,
@@ -87,7 +103,7 @@
     log.info({ step: order, targetId: target.id, peer: target.address, outcome, ...facts }, 'order');
     if (outcome === 'outdated') lease.resign(`target ${target.id} has seen a higher token`);
     if (outcome !== 'accepted') book.fail(target);
-    if (outcome === 'unanswered' || outcome === 'wrong-target') detector.suspect([target]);
+    if (outcome === 'unanswered' || outcome === 'wrong-target') detector.suspect([target], false);
   };
 
   const give = (
@@ -130,6 +146,7 @@
         const { group, head, mode, reason } = next;
         const ref = { token, groupName: group.name, epoch: group.epoch };
         book.note(head);
+        closedKeys.add(group.key);
         give(head, 'close', { ...ref, mode, reason }, () => orders.close(head, ref, mode));
         return;
       }
@@ -147,6 +164,7 @@
   };
 
   function step() {
+    headCheck.learn(fleet.groupsOf(targets.all().values()));
     const state = lease.state();
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
@@ -160,6 +178,9 @@
         engine,
         targets: [...listed.values()].filter(({ serviceName }) => serviceName === name),
         isLost: detector.isLost,
+        isHeadGone: (group) => headCheck.isGone(group, listed),
+        mayOpen: ({ key, epoch }) =>
+          Math.floor(epoch / epochsPerToken) === state.token && !closedKeys.has(key),
         isOrdered: book.isOrdered,
         stagingModel: book.stagingModel,
         isBeforeTraffic: options.isBeforeTraffic(),
@@ -167,21 +188,17 @@
     });
   }
 
-  const takeSuspicion = ({ targetId, groupKey }: Suspicion) => {
-    const listed = [...targets.all().values()];
-    const group = fleet.groupsOf(listed).find(({ key }) => key === groupKey);
+  const takeSuspicion = ({ targetId, isSilent }: Suspicion) => {
     const target = targets.all().get(targetId);
-    const members = group?.members ?? (target === undefined ? [] : [target]);
-    if (members.length === 0) return;
-    log.info({ step: 'suspect', targetId, group: groupKey }, 'asking suspected targets');
-    detector.suspect(members);
+    if (target === undefined) return;
+    log.info({ step: 'suspect', targetId, isSilent }, 'asking a suspected target');
+    detector.suspect([target], isSilent);
   };
 
   calls.handle(suspectMethod, async (params) => {
     const checked = suspicionSchema.safeParse(params);
-    if (!checked.success) throw new Error('params: expected targetId and groupKey');
-    const { targetId, groupKey } = checked.data;
-    if (lease.state().kind === 'holder') takeSuspicion({ targetId, groupKey });
+    if (!checked.success) throw new Error('params: expected targetId and isSilent');
+    if (lease.state().kind === 'holder') takeSuspicion(checked.data);
     return { taken: lease.state().kind === 'holder' };
   });
 
@@ -195,15 +212,22 @@
       });
   };
 
+  const suspect = (suspicion: Suspicion) => {
+    const nowMs = clock.monotonicMs();
+    const { targetId } = suspicion;
+    if (nowMs - (toldAtMs.get(targetId) ?? -Infinity) < suspicionSpacingMs) return;
+    toldAtMs.set(targetId, nowMs);
+    const state = lease.state();
+    if (state.kind === 'holder') takeSuspicion(suspicion);
+    else if (state.holderAddress !== undefined) tell(state.holderAddress, suspicion);
+  };
+
   return {
-    suspect: (suspicion) => {
-      const key = suspicion.groupKey ?? suspicion.targetId;
-      const nowMs = clock.monotonicMs();
-      if (nowMs - (toldAtMs.get(key) ?? -Infinity) < suspicionSpacingMs) return;
-      toldAtMs.set(key, nowMs);
-      const state = lease.state();
-      if (state.kind === 'holder') takeSuspicion(suspicion);
-      else if (state.holderAddress !== undefined) tell(state.holderAddress, suspicion);
+    suspect,
+    confirmLoss: async (groupKey) => {
+      const silentIds = await memberCheck.findSilent(groupKey);
+      silentIds.forEach((targetId) => suspect({ targetId, isSilent: true }));
+      return silentIds.length > 0;
     },
     part: {
       name: 'formation',
--- /dev/null
+++ b/packages/formation/src/createHeadCheck.ts
@@ -0,0 +1,166 @@
+import type * as clocks from '@comfreydrum/clock';
+import * as fleet from '@comfreydrum/fleet';
+import type * as peers from '@comfreydrum/peers';
+import type * as telemetry from '@comfreydrum/telemetry';
+import * as zod from 'zod';
+import type { TargetOrders } from './TargetOrders';
+
+/**
+ * Proves that the head of a group no longer serves. A head that this daemon can't reach may still serve for
+ * others, and one whose entry lapsed may only be cut off from the store.
+ */
+export interface HeadCheck {
+  /** Remembers the heads of the listed groups. */
+  readonly learn: (groups: readonly fleet.Group[]) => void;
+  readonly isGone: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
+}
+
+/** What the check needs. */
+export interface HeadCheckOptions {
+  readonly clock: clocks.Clock;
+  readonly log: telemetry.Log;
+  readonly orders: Pick<TargetOrders, 'probe'>;
+  readonly calls: peers.PeerCalls;
+  /** Gives the addresses of other daemons that live. */
+  readonly peerAddresses: () => readonly string[];
+  readonly onChange: () => void;
+}
+
+interface Head {
+  readonly target: fleet.Target;
+  seenAtMs: number;
+  checkedAtMs: number;
+  checking: boolean;
+  gone: boolean;
+}
+
+const probeMethod = 'formation.probe';
+const probeTimeoutMs = 200;
+const peerCallTimeoutMs = 600;
+/** So many daemons hardly share one cut. */
+const maxAskedPeers = 8;
+/** A head that was reached is asked again after this. */
+const recheckMs = 500;
+/** Groups that nobody reports any more are forgotten after this. */
+const forgottenAfterMs = 60_000;
+/** A head of which nothing is known has ended by then: a leaving one, or one that breaks without a member. */
+const unknownHeadWaitMs = 8_000;
+
+const questionSchema = zod.object({
+  id: zod.string(),
+  startedAtMs: zod.number(),
+  address: zod.string(),
+});
+const answerSchema = zod.object({ reached: zod.boolean() });
+
+/** Only what a probe needs of a target is told to other daemons. */
+const toTarget = ({ id, startedAtMs, address }: zod.infer<typeof questionSchema>): fleet.Target => ({
+  id,
+  startedAtMs,
+  address,
+  serviceName: '',
+  failureDomain: '',
+  state: 'live',
+  slots: 1,
+  fabricDomain: undefined,
+  stagedModels: [],
+  loadedModels: [],
+  membership: undefined,
+});
+
+/** Creates a check that knows no heads; it also answers the questions of other daemons. */
+export const createHeadCheck = (options: HeadCheckOptions): HeadCheck => {
+  const { clock, log, orders, calls } = options;
+  const heads = new Map<string, Head>();
+  const unknownSinceMs = new Map<string, number>();
+
+  const reach = async (target: fleet.Target): Promise<boolean> => {
+    const result = await orders.probe(target, probeTimeoutMs);
+    return result.ok && result.value.startedAtMs === target.startedAtMs;
+  };
+
+  calls.handle(probeMethod, async (params) => {
+    const checked = questionSchema.safeParse(params);
+    if (!checked.success) throw new Error('params: expected id, startedAtMs and address');
+    return { reached: await reach(toTarget(checked.data)) };
+  });
+
+  const askPeer = async (address: string, target: fleet.Target) => {
+    const { id, startedAtMs, address: targetAddress } = target;
+    const question = { id, startedAtMs, address: targetAddress };
+    const result = await calls.call(address, probeMethod, question, peerCallTimeoutMs);
+    const checked = result.ok ? answerSchema.safeParse(result.value) : undefined;
+    return checked?.success ? checked.data.reached : undefined;
+  };
+
+  const check = async (groupKey: string, head: Head) => {
+    head.checking = true;
+    const { target } = head;
+    const asked = options.peerAddresses().slice(0, maxAskedPeers);
+    const [own, ...others] = await Promise.all([
+      reach(target),
+      ...asked.map((address) => askPeer(address, target)),
+    ]);
+    head.checking = false;
+    head.checkedAtMs = clock.monotonicMs();
+    const answered = others.filter((answer) => answer !== undefined);
+    const isReached = own === true || answered.includes(true);
+    head.gone = !isReached && answered.length * 2 >= asked.length;
+    log.info(
+      {
+        step: 'head check',
+        group: groupKey,
+        targetId: target.id,
+        peer: target.address,
+        ownReached: own,
+        askedCount: asked.length,
+        answeredCount: answered.length,
+        gone: head.gone,
+      },
+      head.gone ? 'no daemon reaches the head' : 'the head may still serve',
+    );
+    options.onChange();
+  };
+
+  const isUnknownHeadGone = (groupKey: string): boolean => {
+    const nowMs = clock.monotonicMs();
+    const sinceMs = unknownSinceMs.get(groupKey) ?? nowMs;
+    unknownSinceMs.set(groupKey, sinceMs);
+    return nowMs - sinceMs >= unknownHeadWaitMs;
+  };
+
+  return {
+    learn: (groups) => {
+      const nowMs = clock.monotonicMs();
+      groups.forEach(({ key, head }) => {
+        const known = heads.get(key);
+        if (known !== undefined) known.seenAtMs = nowMs;
+        else if (head !== undefined) {
+          heads.set(key, {
+            target: head,
+            seenAtMs: nowMs,
+            checkedAtMs: -Infinity,
+            checking: false,
+            gone: false,
+          });
+        }
+      });
+      heads.forEach(({ seenAtMs }, key) => {
+        if (nowMs - seenAtMs > forgottenAfterMs) heads.delete(key);
+      });
+    },
+    isGone: ({ key }, listed) => {
+      const head = heads.get(key);
+      if (head === undefined) return isUnknownHeadGone(key);
+      const now = listed.get(head.target.id);
+      if (now !== undefined && now.startedAtMs !== head.target.startedAtMs) return true;
+      // While it is listed it may be cut off from every daemon and serve none, yet stay open.
+      if (now !== undefined) return false;
+      if (head.gone) return true;
+      if (!head.checking && clock.monotonicMs() - head.checkedAtMs >= recheckMs) {
+        void check(key, head);
+      }
+      return false;
+    },
+  };
+};
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -18,6 +18,8 @@
   readonly resign: (reason: string) => void;
   /** How many daemons live, as far as this one knows. */
   readonly daemonCount: () => number;
+  /** Gives the addresses of the daemons that checked in here lately. */
+  readonly peerAddresses: () => readonly string[];
   readonly part: lifecycle.Part;
 }
 
@@ -40,7 +42,8 @@
   holderRunId: zod.string(),
   address: zod.string(),
 });
-const checkInSchema = zod.object({
+const checkInSchema = zod.object({ address: zod.string() });
+const checkedInSchema = zod.object({
   holderRunId: zod.string(),
   daemonCount: zod.number(),
 });
@@ -68,7 +71,7 @@
  */
 export const createLease = (options: LeaseOptions): Lease => {
   const { client, calls, clock, log, key, runId, address } = options;
-  const seenAtMs = new Map<string, number>();
+  const seen = new Map<string, { readonly address: string; readonly atMs: number }>();
   let timer: NodeJS.Timeout | undefined;
   let busy = false;
   let stopped = false;
@@ -83,14 +86,16 @@
 
   const isHolder = () => token !== undefined;
 
-  const countDaemons = () => {
+  const seenLately = () => {
     const nowMs = clock.monotonicMs();
-    [...seenAtMs]
-      .filter(([, atMs]) => nowMs - atMs > seenMs)
-      .forEach(([callerId]) => seenAtMs.delete(callerId));
-    return seenAtMs.size + 1;
+    [...seen]
+      .filter(([, { atMs }]) => nowMs - atMs > seenMs)
+      .forEach(([callerId]) => seen.delete(callerId));
+    return [...seen.values()];
   };
 
+  const countDaemons = () => seenLately().length + 1;
+
   const stepDown = (reason: string) => {
     if (isHolder()) log.warn({ step: 'lease', token, version }, `gave up control: ${reason}`);
     token = undefined;
@@ -156,9 +161,14 @@
       return;
     }
     const asked = holder;
-    const result = await calls.call(asked.address, checkInMethod, {}, checkInTimeoutMs);
+    const result = await calls.call(
+      asked.address,
+      checkInMethod,
+      { address },
+      checkInTimeoutMs,
+    );
     if (result.ok) {
-      const checked = checkInSchema.safeParse(result.value);
+      const checked = checkedInSchema.safeParse(result.value);
       misses = { refused: 0, silent: 0 };
       if (checked.success && checked.data.holderRunId === asked.runId) {
         daemonCount = checked.data.daemonCount;
@@ -192,8 +202,10 @@
     }
   };
 
-  calls.handle(checkInMethod, async (_params, callerId) => {
-    seenAtMs.set(callerId, clock.monotonicMs());
+  calls.handle(checkInMethod, async (params, callerId) => {
+    const checked = checkInSchema.safeParse(params);
+    if (!checked.success) throw new Error('params: expected address');
+    seen.set(callerId, { address: checked.data.address, atMs: clock.monotonicMs() });
     return { holderRunId: isHolder() ? runId : '', daemonCount: countDaemons() };
   });
 
@@ -206,6 +218,7 @@
     },
     resign: stepDown,
     daemonCount: () => (isHolder() ? countDaemons() : daemonCount),
+    peerAddresses: () => seenLately().map((daemon) => daemon.address),
     part: {
       name: 'lease',
       start: () => {
--- a/packages/formation/src/createLossDetector.ts
+++ b/packages/formation/src/createLossDetector.ts
@@ -5,8 +5,8 @@
 
 /** Finds out which targets are lost before the list does. */
 export interface LossDetector {
-  /** Asks the members of a group, or one target, whether they live. */
-  readonly suspect: (targets: readonly fleet.Target[]) => void;
+  /** Asks targets whether they live; `silentElsewhere` if another daemon has just asked in vain. */
+  readonly suspect: (targets: readonly fleet.Target[], silentElsewhere: boolean) => void;
   readonly isLost: (target: fleet.Target) => boolean;
   /** Forgets targets that are no longer listed, and asks the lost ones again from time to time. */
   readonly tick: (listed: ReadonlyMap<string, fleet.Target>) => void;
@@ -94,14 +94,18 @@
   };
 
   return {
-    suspect: (targets) => {
+    suspect: (targets, silentElsewhere) => {
       const nowMs = clock.monotonicMs();
       targets
         .filter((target) => {
           const { answeredAtMs, lost } = suspectOf(target);
-          return !lost && nowMs - answeredAtMs >= answeredStandsMs;
+          return !lost && (silentElsewhere || nowMs - answeredAtMs >= answeredStandsMs);
         })
-        .forEach(ask);
+        .forEach((target) => {
+          const suspect = suspectOf(target);
+          if (silentElsewhere && !suspect.asking) suspect.silentCount = silentProbes - 1;
+          ask(target);
+        });
     },
     isLost: (target) => suspects.get(fleet.runKeyOf(target))?.lost ?? false,
     tick: (listed) => {
--- a/packages/formation/src/judgeGroup.ts
+++ b/packages/formation/src/judgeGroup.ts
@@ -8,10 +8,11 @@
  * - `serving`: the head is open and every member is there.
  * - `closing`: the head finishes or sheds its work.
  * - `must-close`: the head is open and a member is gone or leaves.
+ * - `orphaned`: the head is out of sight but may still serve, so that its members stay bound.
  * - `dissolved`: the head does not serve, so that the members that are left are free.
  */
 export type GroupVerdict =
-  | { readonly kind: 'forming' | 'openable' | 'serving' | 'closing' | 'dissolved' }
+  | { readonly kind: 'forming' | 'openable' | 'serving' | 'closing' | 'orphaned' | 'dissolved' }
   | { readonly kind: 'must-close'; readonly isMemberGone: boolean };
 
 /** What is known of a group beside what its members report. */
@@ -19,15 +20,19 @@
   readonly groupSize: number;
   /** Whether a listed target is known to be lost all the same. */
   readonly isLost: (target: fleet.Target) => boolean;
+  /** Whether it is proved that the head of a group no longer serves. */
+  readonly isHeadGone: (group: fleet.Group) => boolean;
+  /** Whether the group was formed by this controller and not closed since. */
+  readonly mayOpen: (group: fleet.Group) => boolean;
 }
 
 /** Judges a group from the reports of its members. */
-export const judgeGroup = (
-  group: fleet.Group,
-  { groupSize, isLost }: GroupKnowledge,
-): GroupVerdict => {
+export const judgeGroup = (group: fleet.Group, knowledge: GroupKnowledge): GroupVerdict => {
+  const { groupSize, isLost } = knowledge;
   const { head, members } = group;
-  if (head === undefined || isLost(head)) return { kind: 'dissolved' };
+  if (head === undefined || isLost(head)) {
+    return { kind: knowledge.isHeadGone(group) ? 'dissolved' : 'orphaned' };
+  }
   const headState = head.membership.state;
   const isMemberGone = members.length < groupSize || members.some(isLost);
   const isWhole = !isMemberGone && members.every(({ state }) => state === 'live');
@@ -36,7 +41,7 @@
   if (headState === 'open') {
     return isWhole ? { kind: 'serving' } : { kind: 'must-close', isMemberGone };
   }
-  if (!isWhole) return { kind: 'dissolved' };
+  if (!isWhole || !knowledge.mayOpen(group)) return { kind: 'dissolved' };
   if (members.some(({ membership }) => membership.state === 'broken')) {
     return { kind: 'dissolved' };
   }
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -10,6 +10,10 @@
   readonly targets: readonly fleet.Target[];
   /** Whether a listed target is known to be lost all the same. */
   readonly isLost: (target: fleet.Target) => boolean;
+  /** Whether it is proved that the head of a group no longer serves. */
+  readonly isHeadGone: (group: fleet.Group) => boolean;
+  /** Whether the group was formed by this controller and not closed since. */
+  readonly mayOpen: (group: fleet.Group) => boolean;
   /** Whether an order to the target is under way whose effect is not listed yet. */
   readonly isOrdered: (target: fleet.Target) => boolean;
   /** Gives the model whose weights a target is loading onto its host. */
@@ -62,7 +66,7 @@
 /** Groups of no known model are none of ours; they are left to end by themselves. */
 const judge = (group: fleet.Group, view: FormationView): GroupVerdict | undefined => {
   const model = view.engine.models.find(({ name }) => name === group.modelName);
-  return model && judgeGroup(group, { groupSize: model.groupSize, isLost: view.isLost });
+  return model && judgeGroup(group, { ...view, groupSize: model.groupSize });
 };
 
 /** The steps that existing groups need. */
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -10,10 +10,12 @@
 import type { TargetDirectory } from './createTargetDirectory';
 import type { TargetWire } from './TargetWire';
 
-/** A target or group that a request showed to be failing. */
-export interface Suspicion {
-  readonly targetId: string;
-  readonly groupKey: string | undefined;
+/** Finds out about targets that requests show to be failing. */
+export interface Suspicions {
+  /** Tells whoever mends groups that a target seems to be lost. */
+  readonly suspect: (targetId: string) => void;
+  /** Asks the members of a silent group; true when one does not answer. */
+  readonly confirmLoss: (groupKey: string) => Promise<boolean>;
 }
 
 /** Everything that serving a request uses. */
@@ -26,6 +28,8 @@
   readonly board: TargetBoard;
   readonly silence: SilenceWatch;
   readonly client: targetClient.TargetClient;
+  /** For requests that may not be repeated: on a kept connection the target may close as they are sent. */
+  readonly freshClient: targetClient.TargetClient;
   readonly callerWire: CallerWire;
   readonly targetWire: TargetWire;
   readonly retries: routing.RetryBudget;
@@ -34,6 +38,5 @@
   readonly daemonCount: () => number;
   /** After this long without proof that the plan is in force, keys are taken for revoked. */
   readonly keyValidityMs: number;
-  /** Tells whoever mends groups that a target seems to be lost. */
-  readonly onSuspicion: (suspicion: Suspicion) => void;
+  readonly suspicions: Suspicions;
 }
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -100,7 +100,10 @@
     });
   });
 
-/** Aborts a run once its target is judged silent; the result stops watching. */
+/** After the members were asked and all answered, they are asked again after this much more silence. */
+const askAgainMs = 300;
+
+/** Aborts a run once its target is judged silent and lost; the result stops watching. */
 const watchForSilence = (
   parts: RelayParts,
   context: RequestContext,
@@ -110,26 +113,46 @@
   const { candidate, progress } = attempt;
   const { route, response } = context;
   const sentAtMs = parts.clock.monotonicMs();
-  const stop = parts.silence.add((nowMs) => {
+  let askedAtMs = -Infinity;
+
+  const lastEventAtMs = () =>
+    progress.lastEventAtMs === undefined ? undefined : Math.max(progress.lastEventAtMs, sentAtMs);
+
+  const move = (reason: string) => {
+    if (abort.signal.aborted || !attempt.mayMove()) return;
+    const silentMs = Math.round(parts.clock.monotonicMs() - (lastEventAtMs() ?? sentAtMs));
+    abort.abort(new SilenceError(`${reason}: nothing came for ${silentMs} ms`));
+  };
+
+  const askMembers = async (groupKey: string) => {
+    const eventCount = progress.eventCount;
+    const isLost = await parts.suspicions.confirmLoss(groupKey);
+    if (isLost && progress.eventCount === eventCount) move('a member is silent');
+  };
+
+  return parts.silence.add((nowMs) => {
     if (response.writableNeedDrain || abort.signal.aborted) return;
     const evidence = parts.board.read(candidate.key, nowMs);
-    const hasBegun = progress.lastEventAtMs !== undefined;
     const verdict = judgeSilence({
       nowMs,
       sentAtMs,
-      lastEventAtMs:
-        progress.lastEventAtMs === undefined
-          ? undefined
-          : Math.max(progress.lastEventAtMs, sentAtMs),
+      lastEventAtMs: lastEventAtMs(),
       headSilentSinceMs: evidence.silentSinceMs ?? sentAtMs,
       expectedGapMs: evidence.gapMs ?? candidate.expectedMs,
-      targetMs: hasBegun ? (route.gapTargetMs ?? route.latencyTargetMs) : route.latencyTargetMs,
+      targetMs:
+        progress.lastEventAtMs === undefined
+          ? route.latencyTargetMs
+          : (route.gapTargetMs ?? route.latencyTargetMs),
     });
-    if (verdict === 'wait' || !attempt.mayMove()) return;
-    const silentMs = Math.round(nowMs - (progress.lastEventAtMs ?? sentAtMs));
-    abort.abort(new SilenceError(`${verdict}: nothing came for ${silentMs} ms`));
+    if (verdict === 'wait') return;
+    if (verdict !== 'ask' || candidate.groupKey === undefined) {
+      move(verdict);
+      return;
+    }
+    if (nowMs - askedAtMs < askAgainMs) return;
+    askedAtMs = nowMs;
+    void askMembers(candidate.groupKey);
   });
-  return stop;
 };
 
 const describeAbort = (signal: AbortSignal, message: string): string =>
--- a/packages/relay/src/createFront.ts
+++ b/packages/relay/src/createFront.ts
@@ -30,8 +30,8 @@
 const idleMarginMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
 const drainPollMs = 25;
-/** Kept connections are read for this long after the last request before they are closed. */
-const lastReadMs = 150;
+/** The listener ends once no request was open for this long: one may just be on its way in. */
+const quietMs = 100;
 
 /** Creates the listener; it accepts callers once its part is started. */
 export const createFront = (parts: RelayParts, options: FrontOptions): Front => {
@@ -91,10 +91,15 @@
         const startedAtMs = clock.monotonicMs();
         await delay(options.noticeMs);
         const lastAtMs = startedAtMs + options.noticeMs + options.drainTimeoutMs;
-        while (openRequestCount > 0 && clock.monotonicMs() < lastAtMs) await delay(drainPollMs);
         server.close();
-        server.closeIdleConnections();
-        await delay(lastReadMs);
+        let quietSinceMs = clock.monotonicMs();
+        while (clock.monotonicMs() < lastAtMs) {
+          server.closeIdleConnections();
+          const nowMs = clock.monotonicMs();
+          if (openRequestCount > 0) quietSinceMs = nowMs;
+          if (nowMs - quietSinceMs >= quietMs) break;
+          await delay(drainPollMs);
+        }
         log.info({ step: 'drain', openRequests: openRequestCount }, 'drained');
         server.closeAllConnections();
       },
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -10,7 +10,7 @@
 import { createSilenceWatch } from './createSilenceWatch';
 import { createTargetBoard } from './createTargetBoard';
 import { createTargetDirectory } from './createTargetDirectory';
-import type { RelayParts, Suspicion } from './RelayParts';
+import type { RelayParts, Suspicions } from './RelayParts';
 import type { TargetWire } from './TargetWire';
 
 /** What a relay is built from. */
@@ -31,7 +31,7 @@
   readonly retryFraction: number;
   /** Repeats that the whole fleet may make besides. */
   readonly fleetRetryReserve: number;
-  readonly onSuspicion: (suspicion: Suspicion) => void;
+  readonly suspicions: Suspicions;
 }
 
 /** Serves callers. */
@@ -47,6 +47,8 @@
 /** Sendings that end unseen, as when a daemon is killed, are not counted by anyone. */
 const usedRetryFraction = 0.85;
 const reserveIntervalMs = 1_000;
+/** Connections that are not to be used twice are closed as soon as they are idle. */
+const shortestKeepMs = 1;
 
 /** Creates the relay of a daemon. */
 export const createRelay = (options: RelayOptions): Relay => {
@@ -54,6 +56,7 @@
   const log = options.log.child({ part: 'relay' });
   const board = createTargetBoard();
   const client = targetClient.createTargetClient(options.localAddress);
+  const freshClient = targetClient.createTargetClient(options.localAddress, shortestKeepMs);
   const silence = createSilenceWatch(clock);
   const ownReserve = () =>
     (options.fleetRetryReserve * usedReserveFraction) / Math.max(1, options.daemonCount());
@@ -68,6 +71,7 @@
     plan,
     board,
     client,
+    freshClient,
     silence,
     metrics: createRelayMetrics(options.metrics),
     directory: createTargetDirectory({ targets, board, failureDomain: options.failureDomain }),
@@ -77,7 +81,7 @@
     random: options.random,
     daemonCount: options.daemonCount,
     keyValidityMs: options.keyValidityMs,
-    onSuspicion: options.onSuspicion,
+    suspicions: options.suspicions,
   };
   const front = createFront(parts, options);
   let toldReady: boolean | undefined;
@@ -114,7 +118,7 @@
         clearInterval(reserveTimer);
         await front.part.stop?.();
         await silence.part.stop?.();
-        await client.close();
+        await Promise.all([client.close(), freshClient.close()]);
       },
     },
   };
--- a/packages/relay/src/judgeSilence.ts
+++ b/packages/relay/src/judgeSilence.ts
@@ -12,14 +12,22 @@
   readonly targetMs: number;
 }
 
-export type SilenceVerdict = 'wait' | 'head-silent' | 'stream-hangs';
+/**
+ * What to do about it.
+ *
+ * - `ask`: the members of the group are asked whether they live.
+ * - `head-stands-still`, `stream-hangs`: the stream goes on elsewhere without asking.
+ */
+export type SilenceVerdict = 'wait' | 'ask' | 'head-stands-still' | 'stream-hangs';
 
-/** Steps of a pass may take this many times longer while prompts are read. */
-const silentGaps = 3.5;
-/** Links with delay and the reading of a long prompt fit into this. */
-const minSilenceMs = 110;
-/** A head is given at most this part of the time in which the next event is on time. */
-const targetFraction = 0.6;
+/** Passes take a few times longer while prompts are read. */
+const silentGaps = 3;
+/** Links with delay fit into this. */
+const minSilenceMs = 90;
+/** Asking takes time as well, so it begins within this part of the time in which the next event is on time. */
+const targetFraction = 0.5;
+/** Whatever its members say, a head that brings nothing for so long is cut off from one, or hangs. */
+const standstillMs = 900;
 /** A stream that others of its head overtake for so long is not only waiting its turn. */
 const hangMs = 1_200;
 
@@ -37,6 +45,7 @@
     minSilenceMs,
     Math.min(silentGaps * expectedGapMs, targetFraction * targetMs),
   );
-  if (headSilentMs >= limitMs) return 'head-silent';
+  if (headSilentMs >= standstillMs) return 'head-stands-still';
+  if (headSilentMs >= limitMs) return 'ask';
   return streamSilentMs >= hangMs ? 'stream-hangs' : 'wait';
 };
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -42,9 +42,12 @@
   }
   const answer = sent.value;
   const facts = parts.targetWire.readAnswer(answer.statusCode, answer.headers);
-  if (facts.requestId !== undefined && facts.requestId !== context.request.requestId) {
+  const isSuccess = answer.statusCode >= 200 && answer.statusCode < 300;
+  // Targets may leave the id out of a failure, but never of an answer that a caller would take for its own.
+  const mustNameRequest = isSuccess || facts.requestId !== undefined;
+  if (mustNameRequest && facts.requestId !== context.request.requestId) {
     answer.body.discard();
-    const message = `the target answered request ${facts.requestId} instead`;
+    const message = `the target answered request ${facts.requestId ?? 'without id'} instead`;
     return failed({ ran: 'unknown', message, wasRejected: false });
   }
   if (facts.provesNotRun) {
@@ -64,7 +67,8 @@
 ): Promise<SendResult> => {
   const { request } = context;
   const remainingMs = Math.floor(context.deadlineAtMs - parts.clock.monotonicMs());
-  const sent = await parts.client.send({
+  const client = context.route.kind === 'non-idempotent' ? parts.freshClient : parts.client;
+  const sent = await client.send({
     url: `http://${candidate.address}`,
     path: request.url,
     method: request.method as 'GET',
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -1,15 +1,11 @@
 import { attemptExchange, type WholeAnswer } from './attemptExchange';
 import { chooseTarget, type Candidate } from './chooseTarget';
-import { refuseNotRun, reportFailure, type Refusal } from './Refusal';
+import { refuseKey } from './refuseKey';
+import { refuseNotRun, reportFailure } from './Refusal';
 import type { RelayParts } from './RelayParts';
 import type { RequestContext } from './RequestContext';
 import type { SendFailure } from './sendToTarget';
-
-/** How a request ended, for the log; a refusal is still to be written. */
-export type ServeResult =
-  | { readonly kind: 'answered'; readonly statusCode: number }
-  | { readonly kind: 'caller-gone' }
-  | { readonly kind: 'refused'; readonly refusal: Refusal };
+import type { ServeResult } from './ServeResult';
 
 /** How often one request may be sent to targets that turn it away. */
 const maxRejections = 3;
@@ -85,6 +81,7 @@
 
   for (;;) {
     const nowMs = clock.monotonicMs();
+    if (!context.mayStillRun()) return refuseKey(runCount);
     const candidate = choose(nowMs);
     if (candidate === undefined) return giveUp();
     if (tried.size > 0 && !mayTryAgain(nowMs, candidate)) return giveUp();
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -7,7 +7,8 @@
 import { refuseNotRun, type Refusal } from './Refusal';
 import type { RelayParts } from './RelayParts';
 import type { RequestContext } from './RequestContext';
-import { serveExchange, type ServeResult } from './serveExchange';
+import { serveExchange } from './serveExchange';
+import type { ServeResult } from './ServeResult';
 import { serveStream } from './serveStream';
 import { writeRefusal } from './writeRefusal';
 
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,10 +1,11 @@
 import type * as routing from '@comfreydrum/routing';
 import { attemptStream, type StreamProgress, type StreamResult } from './attemptStream';
 import { chooseTarget, type Candidate } from './chooseTarget';
+import { refuseKey } from './refuseKey';
 import { refuseNotRun, reportFailure, type Refusal } from './Refusal';
 import type { RelayParts } from './RelayParts';
 import type { RequestContext } from './RequestContext';
-import type { ServeResult } from './serveExchange';
+import type { ServeResult } from './ServeResult';
 
 /** How often one request may be sent to heads that turn it away. */
 const maxRejections = 4;
@@ -77,9 +78,8 @@
     if (failure.wasRejected) rejectionCount += 1;
     if (wasSilent) board.avoid(candidate.key, nowMs + avoidSilentMs);
     if (failure.wasRejected) board.avoid(candidate.key, nowMs + avoidFullMs);
-    const suspect = failure.faultyTargetId ?? candidate.targetId;
-    if (wasSilent || failure.faultyTargetId !== undefined || !failure.wasRejected) {
-      parts.onSuspicion({ targetId: suspect, groupKey: candidate.groupKey });
+    if (failure.faultyTargetId !== undefined || !failure.wasRejected) {
+      parts.suspicions.suspect(failure.faultyTargetId ?? candidate.targetId);
     }
     log.info(
       {
@@ -99,6 +99,7 @@
 
   for (;;) {
     const nowMs = clock.monotonicMs();
+    if (!context.mayStillRun()) return refuseKey(runCount);
     const candidate = choose(nowMs);
     if (candidate === undefined) return { kind: 'refused', refusal: explain() };
     const isRetry = tried.size > 0;
--- /dev/null
+++ b/packages/target-client/src/brokenAnswers.test.ts
@@ -0,0 +1,59 @@
+import * as net from 'node:net';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import * as targetClient from './index';
+
+const test = uvu.suite('answers that break off');
+
+type EndOfAnswer = (socket: net.Socket) => void;
+
+/** Sends a request to a target that answers `bytes` and ends as told; gives the body, or why there is none. */
+const ask = async (bytes: string, end: EndOfAnswer): Promise<string> => {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.write(bytes, () => setTimeout(() => end(socket), 20)));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const client = targetClient.createTargetClient(undefined);
+  try {
+    const url = `http://127.0.0.1:${port}`;
+    const sent = await client.send({
+      url,
+      path: '/',
+      method: 'GET',
+      headers: [],
+      body: null,
+      signal: AbortSignal.timeout(2_000),
+    });
+    if (!sent.ok) return `failed: ${sent.error.ran}`;
+    const read = await targetClient.readWholeBody(sent.value.body, url, 1_024);
+    return read.ok ? `body: ${read.value.toString()}` : read.error.kind;
+  } finally {
+    await client.close();
+    server.close();
+  }
+};
+
+const unframed = 'HTTP/1.1 200 OK\r\n\r\nhalf of the';
+const chunked = 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n';
+const sized = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 40\r\n\r\nhalf of the';
+
+const finish: EndOfAnswer = (socket) => socket.end();
+const reset: EndOfAnswer = (socket) => socket.resetAndDestroy();
+
+test('an answer without a length is whole when its connection ends, and broken when it is reset', async () => {
+  assert.is(await ask(unframed, finish), 'body: half of the');
+  assert.is(await ask(unframed, reset), 'answer-broken');
+});
+
+test('an answer with a length or in chunks is broken when its connection ends early', async () => {
+  for (const end of [finish, reset]) {
+    assert.is(await ask(chunked, end), 'answer-broken');
+    assert.is(await ask(sized, end), 'answer-broken');
+  }
+});
+
+test.run();
--- a/packages/target-client/src/createTargetClient.ts
+++ b/packages/target-client/src/createTargetClient.ts
@@ -33,19 +33,46 @@
 }
 
 const connectTimeoutMs = 1_000;
-const resetCodes = new Set(['ECONNRESET', 'UND_ERR_SOCKET', 'EPIPE']);
+const resetCode = 'ERR_TARGET_RESET';
+const resetCodes = new Set(['ECONNRESET', 'UND_ERR_SOCKET', 'EPIPE', resetCode]);
 
 const codeOf = (cause: unknown): string =>
   cause instanceof Error && 'code' in cause ? String(cause.code) : '';
 
-/** Creates a client that opens a connection for each request in progress. */
-export const createTargetClient = (localAddress: string | undefined): TargetClient => {
-  const agent = new undici.Agent({
-    connect: { timeout: connectTimeoutMs },
+/**
+ * Opens connections whose reset has a code of its own. undici takes ECONNRESET for the regular end of an
+ * answer without a length, which would make a cut-off answer look whole.
+ */
+const createConnector = (localAddress: string | undefined): undici.buildConnector.connector => {
+  const connect = undici.buildConnector({
+    timeout: connectTimeoutMs,
     ...(localAddress === undefined ? {} : { localAddress }),
+  });
+  return (options, callback) =>
+    connect(options, (...result) => {
+      const [, socket] = result;
+      socket?.on('error', (cause: NodeJS.ErrnoException) => {
+        if (cause.code === 'ECONNRESET') Object.assign(cause, { code: resetCode });
+      });
+      callback(...result);
+    });
+};
+
+/** How long an idle connection is kept unless the target says how long it keeps it. */
+const defaultKeepMs = 4_000;
+
+/** Creates a client that opens a connection for each request in progress; `keepMs` is for idle ones. */
+export const createTargetClient = (
+  localAddress: string | undefined,
+  keepMs = defaultKeepMs,
+): TargetClient => {
+  const agent = new undici.Agent({
+    connect: createConnector(localAddress),
     // Admission bounds how many requests a target has; a bound here would hold back admitted ones.
     connections: null,
     pipelining: 1,
+    keepAliveTimeout: keepMs,
+    keepAliveMaxTimeout: Math.max(keepMs, 1),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
