--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -78,6 +78,7 @@
     targetWire,
     random: Math.random,
     daemonCount: () => container.resolve(relayTokens.lease).daemonCount(),
+    otherLoads: () => container.resolve(relayTokens.lease).otherLoads(),
     keyValidityMs: keys.revocationMs - keyMarginMs,
     retryFraction: retries.fraction,
     fleetRetryReserve: retries.reserve,
@@ -146,6 +147,7 @@
       key: leaseKey,
       runId,
       address: daemonSettings.peers.listen,
+      ownLoads: () => owner.resolve(relayTokens.relay).ownLoads(),
     }),
   );
   register(relayTokens.formation, (owner) =>
--- a/apps/comfreydrumd/src/relay/runRelayDaemon.ts
+++ b/apps/comfreydrumd/src/relay/runRelayDaemon.ts
@@ -19,12 +19,13 @@
     return;
   }
   const changed = Object.entries(loaded.value)
-    .filter(
-      ([name, value]) => JSON.stringify(value) !== JSON.stringify(Reflect.get(inForce, name)),
-    )
+    .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(Reflect.get(inForce, name)))
     .map(([name]) => name);
   if (loaded.value.log.level !== log.level) log.level = loaded.value.log.level;
-  log.info({ step: 'reload', changed }, 'settings read again; all but the log level wait for a start');
+  log.info(
+    { step: 'reload', changed },
+    'settings read again; all but the log level wait for a start',
+  );
 };
 
 /** Runs a daemon that relays requests on the operators' platform, until SIGTERM or SIGINT. */
--- a/packages/fleet/src/createPlanKeeper.ts
+++ b/packages/fleet/src/createPlanKeeper.ts
@@ -50,8 +50,7 @@
   let failing = false;
   let following: Promise<void> = Promise.resolve();
 
-  const ageMs = () =>
-    provedAt === undefined ? Infinity : clocks.maxElapsedMs(clock, provedAt);
+  const ageMs = () => (provedAt === undefined ? Infinity : clocks.maxElapsedMs(clock, provedAt));
 
   const take = ({ value, version }: objectStore.StoredObject) => {
     const decoded = source.decode(value);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,19 +9,8 @@
   ServiceShare,
   TrafficPlan,
 } from './TrafficPlan';
-export {
-  runKeyOf,
-  type GroupMembership,
-  type MembershipState,
-  type Target,
-} from './Target';
-export {
-  formGroupName,
-  groupsOf,
-  isHeadWorking,
-  type Group,
-  type GroupMember,
-} from './Group';
+export { runKeyOf, type GroupMembership, type MembershipState, type Target } from './Target';
+export { formGroupName, groupsOf, isHeadWorking, type Group, type GroupMember } from './Group';
 export { findRoute } from './findRoute';
 export {
   createPlanKeeper,
--- a/packages/formation/src/FormationStep.ts
+++ b/packages/formation/src/FormationStep.ts
@@ -18,6 +18,12 @@
       readonly mode: CloseMode;
       readonly reason: string;
     }
+  | {
+      readonly kind: 'leave';
+      readonly group: fleet.Group;
+      readonly member: fleet.Target;
+      readonly reason: string;
+    }
   | {
       readonly kind: 'stage';
       readonly modelName: string;
--- a/packages/formation/src/TargetOrders.ts
+++ b/packages/formation/src/TargetOrders.ts
@@ -34,12 +34,7 @@
  * - `unanswered`: it may be carried out now, later or never.
  */
 export type OrderOutcome =
-  | 'accepted'
-  | 'conflict'
-  | 'outdated'
-  | 'wrong-target'
-  | 'invalid'
-  | 'unanswered';
+  'accepted' | 'conflict' | 'outdated' | 'wrong-target' | 'invalid' | 'unanswered';
 
 /** What a target tells of itself when it is asked. */
 export interface TargetReport {
@@ -63,6 +58,8 @@
     order: Fence & GroupRef,
     mode: CloseMode,
   ) => Promise<OrderOutcome>;
+  /** Takes a target out of its group at once. */
+  readonly leave: (target: fleet.Target, order: Fence & GroupRef) => Promise<OrderOutcome>;
   /** Loads the weights of a model onto the target's host, beside whatever else it does. */
   readonly stage: (
     target: fleet.Target,
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -88,6 +88,7 @@
     orders,
     calls,
     peerAddresses: lease.peerAddresses,
+    onReached: detector.noteAnswer,
     onChange: schedule,
   });
   /** Groups that this daemon closed; they are formed anew rather than opened again. */
@@ -100,7 +101,10 @@
     facts: Readonly<Record<string, unknown>>,
   ) => {
     orderCount.add({ order, outcome });
-    log.info({ step: order, targetId: target.id, peer: target.address, outcome, ...facts }, 'order');
+    log.info(
+      { step: order, targetId: target.id, peer: target.address, outcome, ...facts },
+      'order',
+    );
     if (outcome === 'outdated') lease.resign(`target ${target.id} has seen a higher token`);
     if (outcome !== 'accepted') book.fail(target);
     if (outcome === 'unanswered' || outcome === 'wrong-target') detector.suspect([target], false);
@@ -150,6 +154,13 @@
         give(head, 'close', { ...ref, mode, reason }, () => orders.close(head, ref, mode));
         return;
       }
+      case 'leave': {
+        const { group, member, reason } = next;
+        const ref = { token, groupName: group.name, epoch: group.epoch };
+        book.note(member);
+        give(member, 'leave', { ...ref, reason }, () => orders.leave(member, ref));
+        return;
+      }
       case 'stage': {
         const { target, modelName, reason } = next;
         book.noteStaging(target, modelName);
@@ -178,7 +189,8 @@
         engine,
         targets: [...listed.values()].filter(({ serviceName }) => serviceName === name),
         isLost: detector.isLost,
-        isHeadGone: (group) => headCheck.isGone(group, listed),
+        isHeadGone: headCheck.isGone,
+        hasHeadMovedOn: (group) => headCheck.hasMovedOn(group, listed),
         mayOpen: ({ key, epoch }) =>
           Math.floor(epoch / epochsPerToken) === state.token && !closedKeys.has(key),
         isOrdered: book.isOrdered,
@@ -203,13 +215,11 @@
   });
 
   const tell = (holderAddress: string, suspicion: Suspicion) => {
-    void calls
-      .call(holderAddress, suspectMethod, suspicion, suspectTimeoutMs)
-      .then((result) => {
-        if (result.ok) return;
-        const { kind, step: failedStep, peer, message } = result.error;
-        log.info({ step: failedStep, peer, kind }, message);
-      });
+    void calls.call(holderAddress, suspectMethod, suspicion, suspectTimeoutMs).then((result) => {
+      if (result.ok) return;
+      const { kind, step: failedStep, peer, message } = result.error;
+      log.info({ step: failedStep, peer, kind }, message);
+    });
   };
 
   const suspect = (suspicion: Suspicion) => {
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -6,13 +6,15 @@
 import type { TargetOrders } from './TargetOrders';
 
 /**
- * Proves that the head of a group no longer serves. A head that this daemon can't reach may still serve for
- * others, and one whose entry lapsed may only be cut off from the store.
+ * Finds out whether any daemon still reaches the head of a group. A head that this daemon can't reach may
+ * still serve for others, and one whose entry lapsed may only be cut off from the store.
  */
 export interface HeadCheck {
   /** Remembers the heads of the listed groups. */
   readonly learn: (groups: readonly fleet.Group[]) => void;
-  readonly isGone: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
+  readonly isGone: (group: fleet.Group) => boolean;
+  /** Tells whether the list shows that the head has left the group, or has started anew. */
+  readonly hasMovedOn: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
 }
 
 /** What the check needs. */
@@ -23,6 +25,8 @@
   readonly calls: peers.PeerCalls;
   /** Gives the addresses of other daemons that live. */
   readonly peerAddresses: () => readonly string[];
+  /** Told when this daemon has reached a head. */
+  readonly onReached: (target: fleet.Target) => void;
   readonly onChange: () => void;
 }
 
@@ -54,7 +58,11 @@
 const answerSchema = zod.object({ reached: zod.boolean() });
 
 /** Only what a probe needs of a target is told to other daemons. */
-const toTarget = ({ id, startedAtMs, address }: zod.infer<typeof questionSchema>): fleet.Target => ({
+const toTarget = ({
+  id,
+  startedAtMs,
+  address,
+}: zod.infer<typeof questionSchema>): fleet.Target => ({
   id,
   startedAtMs,
   address,
@@ -119,6 +127,7 @@
       },
       head.gone ? 'no daemon reaches the head' : 'the head may still serve',
     );
+    if (own === true) options.onReached(target);
     options.onChange();
   };
 
@@ -149,13 +158,16 @@
         if (nowMs - seenAtMs > forgottenAfterMs) heads.delete(key);
       });
     },
-    isGone: ({ key }, listed) => {
+    hasMovedOn: ({ key, name, epoch }, listed) => {
+      const target = heads.get(key)?.target;
+      const now = target && listed.get(target.id);
+      if (target === undefined || now === undefined) return false;
+      if (now.startedAtMs !== target.startedAtMs) return true;
+      return now.membership?.groupName !== name || now.membership.epoch !== epoch;
+    },
+    isGone: ({ key }) => {
       const head = heads.get(key);
       if (head === undefined) return isUnknownHeadGone(key);
-      const now = listed.get(head.target.id);
-      if (now !== undefined && now.startedAtMs !== head.target.startedAtMs) return true;
-      // While it is listed it may be cut off from every daemon and serve none, yet stay open.
-      if (now !== undefined) return false;
       if (head.gone) return true;
       if (!head.checking && clock.monotonicMs() - head.checkedAtMs >= recheckMs) {
         void check(key, head);
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -11,6 +11,9 @@
   /** `token` rises with each change of the holder. */
   | { readonly kind: 'holder'; readonly token: number; readonly mayAct: boolean };
 
+/** How many requests are in progress, by run of a target. */
+export type Loads = Readonly<Record<string, number>>;
+
 /** Lets one daemon at a time act as the controller. */
 export interface Lease {
   readonly state: () => LeaseState;
@@ -18,6 +21,8 @@
   readonly resign: (reason: string) => void;
   /** How many daemons live, as far as this one knows. */
   readonly daemonCount: () => number;
+  /** Gives how many requests all other daemons have in progress, by target, as far as they told lately. */
+  readonly otherLoads: () => Loads;
   /** Gives the addresses of the daemons that checked in here lately. */
   readonly peerAddresses: () => readonly string[];
   readonly part: lifecycle.Part;
@@ -35,6 +40,8 @@
   /** Where other daemons call this one. */
   readonly address: string;
   readonly random: () => number;
+  /** Gives what this daemon itself has in progress; daemons tell each other as they check in. */
+  readonly ownLoads: () => Loads;
 }
 
 const recordSchema = zod.object({
@@ -42,17 +49,20 @@
   holderRunId: zod.string(),
   address: zod.string(),
 });
-const checkInSchema = zod.object({ address: zod.string() });
+const loadsSchema = zod.record(zod.string(), zod.number());
+const checkInSchema = zod.object({ address: zod.string(), loads: loadsSchema });
 const checkedInSchema = zod.object({
   holderRunId: zod.string(),
   daemonCount: zod.number(),
+  /** Those of all daemons but the one that checks in. */
+  loads: loadsSchema,
 });
 
 const checkInMethod = 'formation.checkIn';
 const tickMs = 250;
 const checkInTimeoutMs = 400;
 /** A standby checks in this often. */
-const checkInIntervalMs = 500;
+const checkInIntervalMs = 400;
 /** Misses in a row after which a standby takes over: less when the holder's port refuses. */
 const refusedMisses = 2;
 const silentMisses = 4;
@@ -63,6 +73,24 @@
 const seenMs = 2_500;
 /** How many daemons are taken to live before a holder has told. */
 const initialDaemonCount = 8;
+/** What others told of their requests in progress says nothing after this. */
+const loadsStandMs = 1_500;
+
+interface SeenDaemon {
+  readonly address: string;
+  readonly loads: Loads;
+  readonly atMs: number;
+}
+
+const sumLoads = (all: readonly Loads[]): Loads => {
+  const sums: Record<string, number> = {};
+  all.forEach((loads) =>
+    Object.entries(loads).forEach(([key, count]) => {
+      sums[key] = (sums[key] ?? 0) + count;
+    }),
+  );
+  return sums;
+};
 
 /**
  * Creates the lease, held by nobody that this daemon knows of. A holder renews it at the store and stops
@@ -71,7 +99,7 @@
  */
 export const createLease = (options: LeaseOptions): Lease => {
   const { client, calls, clock, log, key, runId, address } = options;
-  const seen = new Map<string, { readonly address: string; readonly atMs: number }>();
+  const seen = new Map<string, SeenDaemon>();
   let timer: NodeJS.Timeout | undefined;
   let busy = false;
   let stopped = false;
@@ -83,6 +111,7 @@
   let misses = { refused: 0, silent: 0 };
   let nextAtMs = 0;
   let daemonCount = initialDaemonCount;
+  let told: { readonly loads: Loads; readonly atMs: number } = { loads: {}, atMs: -Infinity };
 
   const isHolder = () => token !== undefined;
 
@@ -94,6 +123,9 @@
     return [...seen.values()];
   };
 
+  const loadsOfOthers = (callerId: string): Loads =>
+    sumLoads([...seen].filter(([id]) => id !== callerId).map(([, { loads }]) => loads));
+
   const countDaemons = () => seenLately().length + 1;
 
   const stepDown = (reason: string) => {
@@ -164,7 +196,7 @@
     const result = await calls.call(
       asked.address,
       checkInMethod,
-      { address },
+      { address, loads: options.ownLoads() },
       checkInTimeoutMs,
     );
     if (result.ok) {
@@ -172,6 +204,7 @@
       misses = { refused: 0, silent: 0 };
       if (checked.success && checked.data.holderRunId === asked.runId) {
         daemonCount = checked.data.daemonCount;
+        told = { loads: checked.data.loads, atMs: clock.monotonicMs() };
         return;
       }
       // The daemon there is no longer the holder.
@@ -204,9 +237,13 @@
 
   calls.handle(checkInMethod, async (params, callerId) => {
     const checked = checkInSchema.safeParse(params);
-    if (!checked.success) throw new Error('params: expected address');
-    seen.set(callerId, { address: checked.data.address, atMs: clock.monotonicMs() });
-    return { holderRunId: isHolder() ? runId : '', daemonCount: countDaemons() };
+    if (!checked.success) throw new Error('params: expected address and loads');
+    seen.set(callerId, { ...checked.data, atMs: clock.monotonicMs() });
+    return {
+      holderRunId: isHolder() ? runId : '',
+      daemonCount: countDaemons(),
+      loads: sumLoads([loadsOfOthers(callerId), options.ownLoads()]),
+    };
   });
 
   return {
@@ -218,6 +255,13 @@
     },
     resign: stepDown,
     daemonCount: () => (isHolder() ? countDaemons() : daemonCount),
+    otherLoads: () => {
+      if (isHolder()) {
+        seenLately();
+        return loadsOfOthers('');
+      }
+      return clock.monotonicMs() - told.atMs < loadsStandMs ? told.loads : {};
+    },
     peerAddresses: () => seenLately().map((daemon) => daemon.address),
     part: {
       name: 'lease',
--- a/packages/formation/src/createLossDetector.ts
+++ b/packages/formation/src/createLossDetector.ts
@@ -7,6 +7,8 @@
 export interface LossDetector {
   /** Asks targets whether they live; `silentElsewhere` if another daemon has just asked in vain. */
   readonly suspect: (targets: readonly fleet.Target[], silentElsewhere: boolean) => void;
+  /** Takes note that a target has answered. */
+  readonly noteAnswer: (target: fleet.Target) => void;
   readonly isLost: (target: fleet.Target) => boolean;
   /** Forgets targets that are no longer listed, and asks the lost ones again from time to time. */
   readonly tick: (listed: ReadonlyMap<string, fleet.Target>) => void;
@@ -107,6 +109,12 @@
           ask(target);
         });
     },
+    noteAnswer: (target) => {
+      const suspect = suspectOf(target);
+      suspect.silentCount = 0;
+      suspect.answeredAtMs = clock.monotonicMs();
+      setLost(target, suspect, false, 'answered');
+    },
     isLost: (target) => suspects.get(fleet.runKeyOf(target))?.lost ?? false,
     tick: (listed) => {
       const nowMs = clock.monotonicMs();
--- a/packages/formation/src/index.ts
+++ b/packages/formation/src/index.ts
@@ -12,7 +12,13 @@
 export { assignModels, type FabricDomain } from './assignModels';
 export { judgeGroup, type GroupKnowledge, type GroupVerdict } from './judgeGroup';
 export { planFormation, type FormationView } from './planFormation';
-export { createLease, type Lease, type LeaseOptions, type LeaseState } from './createLease';
+export {
+  createLease,
+  type Lease,
+  type LeaseOptions,
+  type LeaseState,
+  type Loads,
+} from './createLease';
 export {
   createFormation,
   type Formation,
--- a/packages/formation/src/judgeGroup.ts
+++ b/packages/formation/src/judgeGroup.ts
@@ -9,10 +9,12 @@
  * - `closing`: the head finishes or sheds its work.
  * - `must-close`: the head is open and a member is gone or leaves.
  * - `orphaned`: the head is out of sight but may still serve, so that its members stay bound.
+ * - `abandoned`: no daemon reaches the head; its members are free once they have left.
  * - `dissolved`: the head does not serve, so that the members that are left are free.
  */
 export type GroupVerdict =
-  | { readonly kind: 'forming' | 'openable' | 'serving' | 'closing' | 'orphaned' | 'dissolved' }
+  | { readonly kind: 'forming' | 'openable' | 'serving' | 'closing' }
+  | { readonly kind: 'orphaned' | 'abandoned' | 'dissolved' }
   | { readonly kind: 'must-close'; readonly isMemberGone: boolean };
 
 /** What is known of a group beside what its members report. */
@@ -20,7 +22,9 @@
   readonly groupSize: number;
   /** Whether a listed target is known to be lost all the same. */
   readonly isLost: (target: fleet.Target) => boolean;
-  /** Whether it is proved that the head of a group no longer serves. */
+  /** Whether the head is known to have started anew or to be in another group, or in none. */
+  readonly hasHeadMovedOn: (group: fleet.Group) => boolean;
+  /** Whether no daemon reaches the head of a group any more. */
   readonly isHeadGone: (group: fleet.Group) => boolean;
   /** Whether the group was formed by this controller and not closed since. */
   readonly mayOpen: (group: fleet.Group) => boolean;
@@ -30,8 +34,9 @@
 export const judgeGroup = (group: fleet.Group, knowledge: GroupKnowledge): GroupVerdict => {
   const { groupSize, isLost } = knowledge;
   const { head, members } = group;
+  if (head === undefined && knowledge.hasHeadMovedOn(group)) return { kind: 'dissolved' };
   if (head === undefined || isLost(head)) {
-    return { kind: knowledge.isHeadGone(group) ? 'dissolved' : 'orphaned' };
+    return { kind: knowledge.isHeadGone(group) ? 'abandoned' : 'orphaned' };
   }
   const headState = head.membership.state;
   const isMemberGone = members.length < groupSize || members.some(isLost);
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -10,7 +10,9 @@
   readonly targets: readonly fleet.Target[];
   /** Whether a listed target is known to be lost all the same. */
   readonly isLost: (target: fleet.Target) => boolean;
-  /** Whether it is proved that the head of a group no longer serves. */
+  /** Whether the head is known to have started anew or to be in another group, or in none. */
+  readonly hasHeadMovedOn: (group: fleet.Group) => boolean;
+  /** Whether no daemon reaches the head of a group any more. */
   readonly isHeadGone: (group: fleet.Group) => boolean;
   /** Whether the group was formed by this controller and not closed since. */
   readonly mayOpen: (group: fleet.Group) => boolean;
@@ -76,6 +78,11 @@
 ): readonly FormationStep[] =>
   judged.flatMap(({ group, verdict }): readonly FormationStep[] => {
     const { head } = group;
+    if (verdict?.kind === 'abandoned') {
+      return group.members
+        .filter((member) => !view.isLost(member) && !view.isOrdered(member))
+        .map((member) => ({ kind: 'leave', group, member, reason: 'no daemon reaches the head' }));
+    }
     if (head === undefined || verdict === undefined || view.isOrdered(head)) return [];
     if (verdict.kind === 'openable') return [{ kind: 'open', group, head }];
     if (verdict.kind !== 'must-close') return [];
@@ -111,9 +118,7 @@
  */
 export const planFormation = (view: FormationView): readonly FormationStep[] => {
   const { engine, targets } = view;
-  const judged = fleet
-    .groupsOf(targets)
-    .map((group) => ({ group, verdict: judge(group, view) }));
+  const judged = fleet.groupsOf(targets).map((group) => ({ group, verdict: judge(group, view) }));
   const bound = new Set(
     judged
       .filter(({ verdict }) => verdict?.kind !== 'dissolved')
--- a/packages/relay/src/RelayParts.ts
+++ b/packages/relay/src/RelayParts.ts
@@ -34,8 +34,6 @@
   readonly targetWire: TargetWire;
   readonly retries: routing.RetryBudget;
   readonly random: () => number;
-  /** How many daemons live, this one included. */
-  readonly daemonCount: () => number;
   /** After this long without proof that the plan is in force, keys are taken for revoked. */
   readonly keyValidityMs: number;
   readonly suspicions: Suspicions;
--- a/packages/relay/src/chooseTarget.ts
+++ b/packages/relay/src/chooseTarget.ts
@@ -13,14 +13,14 @@
   readonly slots: number;
   /** How long it takes between two events, or to an answer, when all is well. */
   readonly expectedMs: number;
+  /** How many requests all other daemons have in progress there, as far as they told. */
+  readonly otherInFlight: number;
   readonly evidence: TargetEvidence;
 }
 
 /** What a choice depends on beside the candidates. */
 export interface ChoiceOptions {
   readonly nowMs: number;
-  /** How many daemons share a target, as far as this one knows. */
-  readonly daemonsPerTarget: number;
   readonly random: () => number;
 }
 
@@ -39,9 +39,13 @@
   return Math.max(1, seenMs / (expectedMs * slownessTolerance));
 };
 
+/** Gives the part of its places that a target has in use, once one more request is there. */
+export const loadOf = ({ evidence, otherInFlight, slots }: Candidate): number =>
+  (evidence.inFlight + otherInFlight + 1) / slots;
+
 const costOf = (candidate: Candidate, options: ChoiceOptions): number => {
-  const { evidence, slots, isSameDomain } = candidate;
-  const load = ((evidence.inFlight + 1) * options.daemonsPerTarget) / slots;
+  const { evidence, isSameDomain } = candidate;
+  const load = loadOf(candidate);
   return (
     load * slownessOf(candidate) +
     (slownessOf(candidate) - 1) +
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -26,6 +26,8 @@
   readonly targetWire: TargetWire;
   readonly random: () => number;
   readonly daemonCount: () => number;
+  /** Gives the requests in progress of all other daemons, by run of a target. */
+  readonly otherLoads: () => Readonly<Record<string, number>>;
   readonly keyValidityMs: number;
   /** Repeats that the whole fleet may make for each first sending. */
   readonly retryFraction: number;
@@ -40,6 +42,8 @@
   readonly readiness: () => { readonly ready: boolean; readonly reason: string };
   /** Tells whether any request of a caller came since the start. */
   readonly hasSeenCallers: () => boolean;
+  /** Gives the requests in progress here, by run of a target. */
+  readonly ownLoads: () => Readonly<Record<string, number>>;
 }
 
 /** What daemons that are killed and start again take from the fleet's reserve twice is kept free. */
@@ -74,12 +78,16 @@
     freshClient,
     silence,
     metrics: createRelayMetrics(options.metrics),
-    directory: createTargetDirectory({ targets, board, failureDomain: options.failureDomain }),
+    directory: createTargetDirectory({
+      targets,
+      board,
+      failureDomain: options.failureDomain,
+      otherLoads: options.otherLoads,
+    }),
     callerWire: options.callerWire,
     targetWire: options.targetWire,
     retries,
     random: options.random,
-    daemonCount: options.daemonCount,
     keyValidityMs: options.keyValidityMs,
     suspicions: options.suspicions,
   };
@@ -108,6 +116,7 @@
     ...front,
     readiness,
     hasSeenCallers: front.hasSeenCallers,
+    ownLoads: board.loads,
     part: {
       name: 'relay',
       start: async () => {
--- a/packages/relay/src/createTargetBoard.ts
+++ b/packages/relay/src/createTargetBoard.ts
@@ -24,6 +24,8 @@
   readonly onFailure: (targetKey: string, nowMs: number) => void;
   readonly onEnd: (targetKey: string) => void;
   readonly avoid: (targetKey: string, untilMs: number) => void;
+  /** Gives the requests in progress of the targets that have any. */
+  readonly loads: () => Readonly<Record<string, number>>;
   /** Forgets targets without requests that are not among the given ones. */
   readonly retain: (targetKeys: ReadonlySet<string>) => void;
 }
@@ -109,6 +111,12 @@
       const entry = entryOf(targetKey);
       entry.avoidUntilMs = Math.max(entry.avoidUntilMs, untilMs);
     },
+    loads: () =>
+      Object.fromEntries(
+        [...entries]
+          .filter(([, { inFlight }]) => inFlight > 0)
+          .map(([key, { inFlight }]) => [key, inFlight]),
+      ),
     retain: (targetKeys) => {
       [...entries]
         .filter(([key, { inFlight }]) => inFlight === 0 && !targetKeys.has(key))
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -19,6 +19,8 @@
   readonly targets: fleet.TargetList;
   readonly board: TargetBoard;
   readonly failureDomain: string;
+  /** Gives the requests in progress of all other daemons, by run of a target. */
+  readonly otherLoads: () => Readonly<Record<string, number>>;
 }
 
 /** What a target that works alone is expected to take for an answer. */
@@ -69,6 +71,7 @@
       key,
       targetId: target.id,
       address: target.address,
+      otherInFlight: options.otherLoads()[key] ?? 0,
       isSameDomain: target.failureDomain === failureDomain,
       evidence: board.read(key, nowMs),
     };
--- a/packages/relay/src/judgeSilence.ts
+++ b/packages/relay/src/judgeSilence.ts
@@ -28,8 +28,10 @@
 const targetFraction = 0.5;
 /** Whatever its members say, a head that brings nothing for so long is cut off from one, or hangs. */
 const standstillMs = 900;
-/** A stream that others of its head overtake for so long is not only waiting its turn. */
-const hangMs = 1_200;
+/** A stream that has begun and is overtaken by others of its head for so long hangs. */
+const hangMs = 1_000;
+/** Before its first event it may also wait its turn at a head that is full. */
+const firstHangMs = 1_800;
 
 /**
  * Judges whether a stream should go on elsewhere. A head with a dead or cut-off member stands still for all
@@ -47,5 +49,6 @@
   );
   if (headSilentMs >= standstillMs) return 'head-stands-still';
   if (headSilentMs >= limitMs) return 'ask';
-  return streamSilentMs >= hangMs ? 'stream-hangs' : 'wait';
+  const allowedMs = lastEventAtMs === undefined ? firstHangMs : hangMs;
+  return streamSilentMs >= allowedMs ? 'stream-hangs' : 'wait';
 };
--- a/packages/relay/src/readBody.ts
+++ b/packages/relay/src/readBody.ts
@@ -50,7 +50,9 @@
       if (sizeBytes > maxBodyBytes) finish(tooLarge(maxBodyBytes));
       else chunks.push(chunk);
     });
-    message.once('end', () => finish({ kind: 'body', bytes: hasBody ? Buffer.concat(chunks) : null }));
+    message.once('end', () =>
+      finish({ kind: 'body', bytes: hasBody ? Buffer.concat(chunks) : null }),
+    );
     message.once('close', () => finish({ kind: 'caller-gone' }));
     message.once('error', () => finish({ kind: 'caller-gone' }));
   });
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -39,11 +39,7 @@
   const choose = (nowMs: number): Candidate | undefined => {
     const all = parts.directory.loneTargets(service, nowMs);
     const untried = all.filter(({ key }) => !tried.has(key));
-    return chooseTarget(untried, {
-      nowMs,
-      daemonsPerTarget: parts.daemonCount(),
-      random: parts.random,
-    });
+    return chooseTarget(untried, { nowMs, random: parts.random });
   };
 
   const mayTryAgain = (nowMs: number, candidate: Candidate): boolean => {
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -41,7 +41,9 @@
 const admit = async (parts: RelayParts, request: CallerRequest): Promise<Admission> => {
   const plan = parts.plan.current();
   if (plan === undefined) {
-    return end(refused(refuseNotRun('no-plan', 'no traffic plan is known yet', noPlanRetryAfterMs)));
+    return end(
+      refused(refuseNotRun('no-plan', 'no traffic plan is known yet', noPlanRetryAfterMs)),
+    );
   }
   const route = fleet.findRoute(plan, request.host, request.path);
   if (route === undefined) {
@@ -101,7 +103,9 @@
   parts.metrics.requests.add({ route: route.name });
   parts.retries.onFirstTry();
   const result =
-    route.kind === 'stream' ? await serveStream(parts, context) : await serveExchange(parts, context);
+    route.kind === 'stream'
+      ? await serveStream(parts, context)
+      : await serveExchange(parts, context);
   const outcome = result.kind === 'refused' ? result.refusal.cause : result.kind;
   parts.metrics.outcomes.add({ route: route.name, outcome });
   if (result.kind === 'answered') {
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,6 +1,6 @@
 import type * as routing from '@comfreydrum/routing';
 import { attemptStream, type StreamProgress, type StreamResult } from './attemptStream';
-import { chooseTarget, type Candidate } from './chooseTarget';
+import { chooseTarget, loadOf, type Candidate } from './chooseTarget';
 import { refuseKey } from './refuseKey';
 import { refuseNotRun, reportFailure, type Refusal } from './Refusal';
 import type { RelayParts } from './RelayParts';
@@ -15,9 +15,17 @@
 const avoidFullMs = 150;
 /** Groups join within a second or two from staged weights. */
 const noGroupRetryAfterMs = 1_200;
-const fullRetryAfterMs = 500;
+const fullRetryAfterMs = 1_200;
+/**
+ * Requests that may wait at a head whose places are all taken: with one stream ending every 60 ms or so, the
+ * first event of one more would come after its target.
+ */
+const waitingPerHead = 2;
 const sendableMs = 20;
 
+const isOverloaded = ({ evidence, otherInFlight, slots }: Candidate): boolean =>
+  evidence.inFlight + otherInFlight >= slots + waitingPerHead;
+
 /** Serves a request whose answer is a stream; it goes on at another head where one breaks off. */
 export const serveStream = async (
   parts: RelayParts,
@@ -40,7 +48,7 @@
       parts.directory
         .groupHeads(service, request.modelName, nowMs)
         .filter(({ key }) => !tried.has(key)),
-      { nowMs, daemonsPerTarget: 1, random: parts.random },
+      { nowMs, random: parts.random },
     );
 
   const retryAt = (candidate: Candidate, nowMs: number): routing.RetryDecision =>
@@ -103,6 +111,11 @@
     const candidate = choose(nowMs);
     if (candidate === undefined) return { kind: 'refused', refusal: explain() };
     const isRetry = tried.size > 0;
+    if (!isRetry && isOverloaded(candidate)) {
+      const load = loadOf(candidate).toFixed(2);
+      const text = `the least loaded group of model ${request.modelName} is at ${load} of its places`;
+      return { kind: 'refused', refusal: refuseNotRun('overload', text, fullRetryAfterMs) };
+    }
     if (isRetry) {
       const mayRepeat = runCount === 0 || (route.isResumable && runCount < route.maxTargets);
       if (!mayRepeat || rejectionCount > maxRejections) {
--- a/packages/target-client/src/brokenAnswers.test.ts
+++ b/packages/target-client/src/brokenAnswers.test.ts
@@ -38,7 +38,8 @@
 };
 
 const unframed = 'HTTP/1.1 200 OK\r\n\r\nhalf of the';
-const chunked = 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n';
+const chunked =
+  'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n';
 const sized = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 40\r\n\r\nhalf of the';
 
 const finish: EndOfAnswer = (socket) => socket.end();
