Test the relay against targets that fail in each way

A stream that is cut off keeps the events that were passed on: destroying the response dropped what was written in the same tick (red before).

--- /dev/null
+++ b/packages/relay/src/judgeSilence.test.ts
@@ -0,0 +1,48 @@
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { judgeSilence, type SilenceQuestion } from './judgeSilence';
+
+const test = uvu.suite('silence');
+
+const question = (fields: Partial<SilenceQuestion>): SilenceQuestion => ({
+  nowMs: 10_000,
+  sentAtMs: 5_000,
+  lastEventAtMs: 10_000,
+  headSilentSinceMs: 10_000,
+  expectedGapMs: 50,
+  targetMs: 300,
+  ...fields,
+});
+
+const silentFor = (silentMs: number, fields: Partial<SilenceQuestion> = {}) =>
+  judgeSilence(
+    question({ lastEventAtMs: 10_000 - silentMs, headSilentSinceMs: 10_000 - silentMs, ...fields }),
+  );
+
+test('asks early enough for the next event to be on time elsewhere', () => {
+  assert.is(silentFor(80), 'wait');
+  assert.is(silentFor(160), 'ask');
+  assert.is(silentFor(95, { expectedGapMs: 30, targetMs: 200 }), 'ask');
+});
+
+test('waits while other streams of the head move on', () => {
+  assert.is(silentFor(500, { headSilentSinceMs: 9_990 }), 'wait');
+  assert.is(silentFor(1_100, { headSilentSinceMs: 9_990 }), 'stream-hangs');
+});
+
+test('gives a stream that has not begun longer to wait its turn', () => {
+  const fields = { lastEventAtMs: undefined, headSilentSinceMs: 9_990 };
+  assert.is(silentFor(0, { ...fields, sentAtMs: 8_500 }), 'wait');
+  assert.is(silentFor(0, { ...fields, sentAtMs: 8_000 }), 'stream-hangs');
+});
+
+test('does not wait for a head that stands still, whatever its members say', () => {
+  assert.is(silentFor(950), 'head-stands-still');
+});
+
+test('counts silence from the sending of the stream itself', () => {
+  const fields = { lastEventAtMs: undefined, sentAtMs: 9_950, headSilentSinceMs: 1_000 };
+  assert.is(judgeSilence(question(fields)), 'wait');
+});
+
+test.run();
--- /dev/null
+++ b/packages/relay/src/serveExchange.test.ts
@@ -0,0 +1,167 @@
+import type * as http from 'node:http';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { call } from './testing/callers';
+import { createTestRelay, type TestRelay, type TestRelayOptions } from './testing/createTestRelay';
+
+const test = uvu.suite('whole answers');
+
+const withRelay = async (options: TestRelayOptions, use: (relay: TestRelay) => Promise<void>) => {
+  const relay = await createTestRelay(options);
+  try {
+    await use(relay);
+  } finally {
+    await relay.stop();
+  }
+};
+
+/** Plays an answer and counts the requests that came. */
+const createTarget = (answer: http.RequestListener) => {
+  let count = 0;
+  const listener: http.RequestListener = (request, response) => {
+    count += 1;
+    request.resume();
+    request.once('end', () => answer(request, response));
+  };
+  return { listener, count: () => count };
+};
+
+const answerWith =
+  (status: number, headers: Readonly<Record<string, string>> = {}): http.RequestListener =>
+  (request, response) => {
+    response
+      .writeHead(status, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's', ...headers })
+      .end(`status ${status}`);
+  };
+
+const cutOff: http.RequestListener = (_request, response) => response.destroy();
+const hang: http.RequestListener = () => {};
+const filing = { kind: 'non-idempotent', maxTargets: 1 } as const;
+const lookup = { kind: 'idempotent', maxTargets: 2 } as const;
+
+const playBoth = async (
+  route: Partial<TestRelayOptions['route']>,
+  first: http.RequestListener,
+  second: http.RequestListener,
+) => {
+  const one = createTarget(first);
+  const two = createTarget(second);
+  const targets = [
+    { id: 't1', listener: one.listener },
+    { id: 't2', listener: two.listener },
+  ];
+  const result = { status: 0, text: '', retryAfter: '', counts: [0, 0] };
+  await withRelay({ targets, route: { ...route } }, async ({ url }) => {
+    const answer = await call(url);
+    result.status = answer.status;
+    result.text = answer.text;
+    result.retryAfter = answer.headers['retry-after'] ?? '';
+    result.counts = [one.count(), two.count()];
+  });
+  return result;
+};
+
+test('passes status, body and stamp on unchanged', async () => {
+  const target = createTarget(answerWith(404));
+  await withRelay(
+    { targets: [{ id: 't1', listener: target.listener }], route: filing },
+    async ({ url }) => {
+      const answer = await call(url);
+      assert.is(answer.status, 404);
+      assert.is(answer.text, 'status 404');
+      assert.is(answer.headers['x-stamp'], 's');
+    },
+  );
+});
+
+test('sends a filing whose fate is unknown nowhere else, and does not call it not run', async () => {
+  const cut = await playBoth(filing, cutOff, answerWith(200));
+  assert.equal(cut.counts, [1, 0]);
+  assert.is(cut.status, 502);
+  const failed = await playBoth(filing, answerWith(503), answerWith(200));
+  assert.equal(failed.counts, [1, 0]);
+  assert.is(failed.status, 502, 'a 503 without proof would promise that it did not run');
+});
+
+test('passes on the failure of a filing', async () => {
+  const failed = await playBoth(filing, answerWith(500), answerWith(200));
+  assert.equal(failed.counts, [1, 0]);
+  assert.equal([failed.status, failed.text], [500, 'status 500']);
+});
+
+test('sends a filing elsewhere where a target proves that it did not run', async () => {
+  const full: http.RequestListener = (_request, response) => {
+    response.writeHead(503, { 'x-not-run': '1' }).end();
+  };
+  const served = await playBoth(filing, full, answerWith(200));
+  assert.equal(served.counts, [1, 1]);
+  assert.is(served.status, 200);
+  const refused = await playBoth(filing, full, full);
+  assert.is(refused.status, 503);
+  assert.ok(Number(refused.retryAfter) > 0);
+});
+
+test('repeats a lookup that failed, was cut off or hangs', async () => {
+  for (const first of [answerWith(500), cutOff, hang]) {
+    const served = await playBoth(lookup, first, answerWith(200));
+    assert.is(served.status, 200);
+    assert.equal(served.counts, [1, 1]);
+  }
+});
+
+test('runs a lookup on no more targets than its route allows', async () => {
+  const failed = await playBoth(lookup, answerWith(500), answerWith(500));
+  assert.equal(failed.counts, [1, 1]);
+  assert.is(failed.status, 500);
+});
+
+test('refuses a key that is unknown, and any key that is not proved good', async () => {
+  const target = createTarget(answerWith(200));
+  let ageMs = 0;
+  const options = {
+    targets: [{ id: 't1', listener: target.listener }],
+    route: lookup,
+    planAgeMs: () => ageMs,
+  };
+  await withRelay(options, async ({ url, relay }) => {
+    assert.is((await call(url, { headers: { 'x-key': 'wrong' } })).status, 401);
+    assert.ok(relay.readiness().ready);
+    ageMs = 4_500;
+    const stale = await call(url);
+    assert.is(stale.status, 503);
+    assert.ok(Number(stale.headers['retry-after']) > 0);
+    assert.is((await call(url, { headers: { 'x-key': 'wrong' } })).status, 503);
+    assert.not(relay.readiness().ready);
+    assert.is(target.count(), 0);
+  });
+});
+
+test('answers 404 for no route, and 413 for a body that is too large', async () => {
+  const target = createTarget(answerWith(200));
+  const options = { targets: [{ id: 't1', listener: target.listener }], route: lookup };
+  await withRelay(options, async ({ url }) => {
+    assert.is((await call(url, { path: '/other/1' })).status, 404);
+    assert.is((await call(url, { body: 'x'.repeat(2_000) })).status, 413);
+    assert.is(target.count(), 0);
+  });
+});
+
+test('stops without cutting off a request in progress', async () => {
+  const slow: http.RequestListener = (request, response) => {
+    setTimeout(() => answerWith(200)(request, response), 300);
+  };
+  const relay = await createTestRelay({
+    targets: [{ id: 't1', listener: createTarget(slow).listener }],
+    route: { kind: 'non-idempotent', maxTargets: 1 },
+  });
+  const answered = call(relay.url);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  const stopped = relay.stop();
+  assert.not(relay.relay.readiness().ready);
+  assert.is((await answered).status, 200);
+  await stopped;
+});
+
+test.run();
--- /dev/null
+++ b/packages/relay/src/serveStream.test.ts
@@ -0,0 +1,236 @@
+import type * as http from 'node:http';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { call } from './testing/callers';
+import { createTestRelay, type TestRelay, type TestRelayOptions } from './testing/createTestRelay';
+import { beginStream, eventOf, eventsOf, resumeIdOf, streamTo } from './testing/streams';
+
+const test = uvu.suite('streams');
+
+const withRelay = async (options: TestRelayOptions, use: (relay: TestRelay) => Promise<void>) => {
+  const relay = await createTestRelay(options);
+  try {
+    await use(relay);
+  } finally {
+    await relay.stop();
+  }
+};
+
+/** Answers as told, and counts its requests. */
+const counting = (listener: http.RequestListener) => {
+  const seen: http.IncomingMessage[] = [];
+  const counted: http.RequestListener = (request, response) => {
+    seen.push(request);
+    listener(request, response);
+  };
+  return { listener: counted, seen };
+};
+
+test('passes a stream on with the headers of the target', async () => {
+  await withRelay({ targets: [{ id: 't1', listener: streamTo(5, 's1') }] }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.status, 200);
+    assert.is(answer.text, eventsOf(1, 5));
+    assert.ok(answer.isComplete);
+    assert.is(answer.headers['x-stamp'], 's1');
+  });
+});
+
+test('goes on at another group where a target is reset in the middle of an event', async () => {
+  const torn: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    response.write(`${eventsOf(1, 3)}id: 4\nda`);
+    setTimeout(() => response.destroy(), 30);
+  };
+  const second = counting(streamTo(6, 's2'));
+  const targets = [
+    { id: 't1', listener: torn },
+    { id: 't2', listener: second.listener },
+  ];
+  await withRelay({ targets }, async ({ url, suspected }) => {
+    const answer = await call(url);
+    assert.is(answer.text, eventsOf(1, 6), 'no event is missing, torn or repeated');
+    assert.ok(answer.isComplete);
+    assert.is(answer.headers['x-stamp'], 's1', 'the first run names the answer');
+    assert.is(resumeIdOf(second.seen[0]!), 3);
+    assert.equal(suspected, ['t1']);
+  });
+});
+
+test('moves a stream whose group lost a member, and only then', async () => {
+  const silent: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    response.write(eventOf(1));
+  };
+  let isLost = false;
+  const second = counting(streamTo(4, 's2'));
+  const targets = [
+    { id: 't1', listener: silent },
+    { id: 't2', listener: second.listener },
+  ];
+  await withRelay({ targets, confirmLoss: () => isLost }, async ({ url }) => {
+    const answered = call(url);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 400);
+    });
+    assert.is(second.seen.length, 0, 'silence alone is no loss');
+    isLost = true;
+    const answer = await answered;
+    assert.is(answer.text, eventsOf(1, 4));
+    assert.is(second.seen.length, 1);
+  });
+});
+
+test('gives up a head that stands still though its members answer', async () => {
+  const silent: http.RequestListener = (request) => {
+    request.resume();
+  };
+  const targets = [
+    { id: 't1', listener: silent },
+    { id: 't2', listener: streamTo(2, 's2') },
+  ];
+  await withRelay({ targets }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.text, eventsOf(1, 2));
+  });
+});
+
+test('cuts off a stream that may not be resumed, and never ends it as complete', async () => {
+  const broken: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    response.write(eventsOf(1, 2));
+    setTimeout(() => response.destroy(), 30);
+  };
+  const second = counting(streamTo(4, 's2'));
+  const targets = [
+    { id: 't1', listener: broken },
+    { id: 't2', listener: second.listener },
+  ];
+  await withRelay({ targets, route: { isResumable: false } }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.text, eventsOf(1, 2));
+    assert.not(answer.isComplete);
+    assert.is(second.seen.length, 0);
+  });
+});
+
+test('breaks off where a target skips or repeats an event', async () => {
+  for (const wrong of [eventsOf(1, 2) + eventOf(4), eventsOf(1, 2) + eventOf(2)]) {
+    const faulty: http.RequestListener = (request, response) => {
+      beginStream(request, response, 's1');
+      response.end(wrong);
+    };
+    await withRelay(
+      { targets: [{ id: 't1', listener: faulty }], route: { maxTargets: 1 } },
+      async ({ url }) => {
+        const answer = await call(url);
+        assert.is(answer.text, eventsOf(1, 2));
+        assert.not(answer.isComplete);
+      },
+    );
+  }
+});
+
+test('never passes on an answer to another request', async () => {
+  const late: http.RequestListener = (request, response) => {
+    request.resume();
+    response.writeHead(200, { 'x-id': 'another' });
+    response.end(eventsOf(1, 3));
+  };
+  await withRelay({ targets: [{ id: 't1', listener: late }] }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.status, 502, 'the request may have run');
+    assert.not.match(answer.text, 'token');
+  });
+});
+
+test('refuses with 503 only where every target has proved that it did not run', async () => {
+  const full: http.RequestListener = (request, response) => {
+    request.resume();
+    response.writeHead(503, { 'x-not-run': '1' }).end();
+  };
+  await withRelay({ targets: [{ id: 't1', listener: full }] }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+  });
+  const failing: http.RequestListener = (request, response) => {
+    request.resume();
+    response.writeHead(503, { 'x-id': 'r1' }).end();
+  };
+  const targets = [
+    { id: 't1', listener: full },
+    { id: 't2', listener: failing },
+  ];
+  await withRelay({ targets }, async ({ url }) => {
+    assert.is((await call(url)).status, 502);
+  });
+});
+
+test('refuses at once what no group has room for', async () => {
+  const target = counting(streamTo(2, 's1'));
+  const options = {
+    targets: [{ id: 't1', listener: target.listener }],
+    slots: 4,
+    otherLoads: () => ({ 't1@1': 6 }),
+  };
+  await withRelay(options, async ({ url }) => {
+    const startedAtMs = performance.now();
+    const answer = await call(url);
+    assert.is(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.ok(performance.now() - startedAtMs < 150);
+    assert.is(target.seen.length, 0);
+  });
+});
+
+test('frees the target soon after the caller has left', async () => {
+  let closed: Promise<void> | undefined;
+  const endless: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    let id = 0;
+    const timer = setInterval(() => {
+      id += 1;
+      response.write(eventOf(id));
+    }, 20);
+    closed = new Promise((resolve) => {
+      response.once('close', () => {
+        clearInterval(timer);
+        resolve();
+      });
+    });
+  };
+  await withRelay({ targets: [{ id: 't1', listener: endless }] }, async ({ url }) => {
+    await call(url, { leaveAfterMs: 150 });
+    const startedAtMs = performance.now();
+    await closed;
+    assert.ok(performance.now() - startedAtMs < 500);
+  });
+});
+
+test('answers at the time limit of the route', async () => {
+  const silent: http.RequestListener = (request) => {
+    request.resume();
+  };
+  const options = { targets: [{ id: 't1', listener: silent }], route: { timeoutMs: 300 } };
+  await withRelay(options, async ({ url }) => {
+    const startedAtMs = performance.now();
+    const answer = await call(url, { headers: { 'x-limit-ms': '5000' } });
+    assert.is(answer.status, 504);
+    assert.ok(performance.now() - startedAtMs < 600);
+  });
+});
+
+test('hands on the time that is left and the name of the customer, not the key', async () => {
+  const target = counting(streamTo(1, 's1'));
+  await withRelay({ targets: [{ id: 't1', listener: target.listener }] }, async ({ url }) => {
+    await call(url, { headers: { 'x-limit-ms': '2000' } });
+    const { headers } = target.seen[0]!;
+    assert.ok(Number(headers['x-left-ms']) <= 2_000);
+    assert.ok(Number(headers['x-left-ms']) > 1_500);
+    assert.is(headers['x-customer'], 'court');
+    assert.is(headers['x-key'], undefined);
+  });
+});
+
+test.run();
--- /dev/null
+++ b/packages/relay/src/testing/callers.ts
@@ -0,0 +1,51 @@
+import * as http from 'node:http';
+import { testKey, testModel } from './createTestRelay';
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly text: string;
+  /** Whether the answer came to its regular end. */
+  readonly isComplete: boolean;
+}
+
+export interface CallOptions {
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** Leaves after this long. */
+  readonly leaveAfterMs?: number;
+  readonly path?: string;
+}
+
+/** Calls as a caller does, on a connection of its own, and tells whatever came. */
+export const call = (url: string, options: CallOptions = {}): Promise<CallerAnswer> =>
+  new Promise((resolve) => {
+    const request = http.request(`${url}${options.path ?? '/drafts/1'}`, {
+      method: options.method ?? 'POST',
+      agent: false,
+      headers: { 'x-id': 'r1', 'x-key': testKey, 'x-model': testModel, ...options.headers },
+    });
+    const none = { status: 0, headers: {}, text: '', isComplete: false };
+    request.on('error', () => resolve(none));
+    request.on('response', (response) => {
+      let text = '';
+      const finish = () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          text,
+          isComplete: response.complete,
+        });
+      response.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      response.on('close', finish);
+      response.on('error', () => {});
+    });
+    if (options.leaveAfterMs !== undefined) {
+      setTimeout(() => request.destroy(), options.leaveAfterMs);
+    }
+    request.end(options.body ?? '{}');
+  });
--- /dev/null
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -0,0 +1,236 @@
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import * as clocks from '@comfreydrum/clock';
+import type * as fleet from '@comfreydrum/fleet';
+import * as telemetry from '@comfreydrum/telemetry';
+import * as relay from '../index';
+
+/** A target of a test, behind a real listener. */
+export interface TestTarget {
+  readonly id: string;
+  readonly listener: http.RequestListener;
+}
+
+/** What a test sets of the relay around it. */
+export interface TestRelayOptions {
+  readonly route?: Partial<fleet.Route>;
+  /** Heads of open groups for a stream route, targets that work alone for any other. */
+  readonly targets: readonly TestTarget[];
+  readonly planAgeMs?: () => number;
+  /** Whether the members of a silent group are found missing. */
+  readonly confirmLoss?: () => boolean;
+  readonly slots?: number;
+  readonly otherLoads?: () => Readonly<Record<string, number>>;
+}
+
+export interface TestRelay {
+  readonly url: string;
+  readonly relay: relay.Relay;
+  readonly suspected: readonly string[];
+  readonly stop: () => Promise<void>;
+}
+
+export const testModel = 'draft';
+export const testKey = 'key-1';
+
+const model: fleet.ServedModel = {
+  name: testModel,
+  groupSize: 1,
+  paceFactor: 1,
+  demandShare: 1,
+  loadMs: 1_000,
+  stagedJoinMs: 100,
+};
+
+const engine: fleet.EngineProfile = {
+  slotsPerGroup: 4,
+  models: [model],
+  stepMs: 5,
+  stepMsPerRequest: 0,
+  stepsPerEvent: 4,
+  promptTokensPerSecond: 50_000,
+  concurrentLoads: 6,
+  loadStartsPerSecond: 4,
+};
+
+const defaultRoute: fleet.Route = {
+  name: 'drafts',
+  host: 'desk.example',
+  pathPrefix: '/drafts/',
+  kind: 'stream',
+  isResumable: true,
+  isPublic: false,
+  timeoutMs: 3_000,
+  latencyTargetMs: 300,
+  gapTargetMs: 300,
+  priority: 1,
+  maxTargets: 2,
+  shares: [{ serviceName: 'service', weight: 1 }],
+};
+
+const createPlan = (options: TestRelayOptions): fleet.TrafficPlan => {
+  const route = { ...defaultRoute, ...options.route };
+  const slotsPerGroup = options.slots ?? engine.slotsPerGroup;
+  return {
+    revision: 7,
+    routes: [route],
+    services: new Map([
+      [
+        'service',
+        {
+          name: 'service',
+          maxConnections: 100,
+          engine: route.kind === 'stream' ? { ...engine, slotsPerGroup } : undefined,
+        },
+      ],
+    ]),
+    customersByKey: new Map([[testKey, { name: 'court' }]]),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_024,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+    },
+  };
+};
+
+/** A wire whose header names are plain. */
+const callerWire: relay.CallerWire = {
+  readRequest: (message) => {
+    const url = message.url ?? '/';
+    const limit = message.headers['x-limit-ms'];
+    const last = message.headers['last-event-id'];
+    return {
+      requestId: String(message.headers['x-id']),
+      method: message.method ?? 'GET',
+      host: String(message.headers['x-host'] ?? defaultRoute.host),
+      url,
+      path: url.split('?', 1)[0]!,
+      headers: relay.endToEndHeaders(
+        message.rawHeaders,
+        message.headers.connection,
+        new Set(['x-key', 'content-length', 'last-event-id']),
+      ),
+      key: message.headers['x-key'] as string | undefined,
+      timeLimitMs: limit === undefined ? undefined : Number(limit),
+      modelName: message.headers['x-model'] as string | undefined,
+      lastEventId: last === undefined ? undefined : Number(last),
+    };
+  },
+  answerHeaders: ({ requestId }) => ({ 'x-id': requestId ?? '' }),
+};
+
+const targetWire: relay.TargetWire = {
+  requestHeaders: ({ headers, lastEventId }, dispatch) => [
+    ...headers,
+    'x-target',
+    dispatch.targetId,
+    'x-left-ms',
+    String(dispatch.remainingMs),
+    ...(dispatch.customerName === undefined ? [] : ['x-customer', dispatch.customerName]),
+    ...((dispatch.resumeAfterEventId ?? lastEventId) === undefined
+      ? []
+      : ['last-event-id', String(dispatch.resumeAfterEventId ?? lastEventId)]),
+  ],
+  readAnswer: (_statusCode, headers) => ({
+    requestId: headers['x-id'] as string | undefined,
+    provesNotRun: headers['x-not-run'] !== undefined,
+    faultyTargetId: headers['x-faulty'] as string | undefined,
+  }),
+};
+
+const listen = async (listener: http.RequestListener) => {
+  const server = http.createServer(listener);
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return { server, port: (server.address() as AddressInfo).port };
+};
+
+const findFreePort = async () => {
+  const { server, port } = await listen(() => {});
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+  return port;
+};
+
+/** Starts a relay before targets that the test plays. */
+export const createTestRelay = async (options: TestRelayOptions): Promise<TestRelay> => {
+  const plan = createPlan(options);
+  const isStream = plan.routes[0]!.kind === 'stream';
+  const servers: http.Server[] = [];
+  const targets = new Map<string, fleet.Target>();
+  for (const [index, { id, listener }] of options.targets.entries()) {
+    const { server, port } = await listen(listener);
+    servers.push(server);
+    targets.set(id, {
+      id,
+      startedAtMs: 1,
+      serviceName: 'service',
+      address: `127.0.0.1:${port}`,
+      failureDomain: index === 0 ? 'a' : 'b',
+      state: 'live',
+      slots: options.slots ?? engine.slotsPerGroup,
+      fabricDomain: 'f',
+      stagedModels: [],
+      loadedModels: [],
+      membership: isStream
+        ? { groupName: `${testModel}.${index}`, epoch: index, rank: 0, state: 'open' }
+        : undefined,
+    });
+  }
+  const ageMs = options.planAgeMs ?? (() => 0);
+  const suspected: string[] = [];
+  const port = await findFreePort();
+  const created = relay.createRelay({
+    host: '127.0.0.1',
+    port,
+    failureDomain: 'a',
+    localAddress: undefined,
+    noticeMs: 20,
+    drainTimeoutMs: 1_000,
+    clock: clocks.createSystemClock(),
+    log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
+    metrics: telemetry.createMetrics(),
+    plan: {
+      current: () => plan,
+      ageMs,
+      ensureFresh: async (maxAgeMs) => ageMs() <= maxAgeMs,
+      part: { name: 'plan' },
+    },
+    targets: {
+      all: () => targets,
+      version: () => 1,
+      ageMs: () => 0,
+      isKnown: () => true,
+      onChange: () => {},
+      part: { name: 'targets' },
+    },
+    callerWire,
+    targetWire,
+    random: () => 0.5,
+    daemonCount: () => 1,
+    otherLoads: options.otherLoads ?? (() => ({})),
+    keyValidityMs: 4_000,
+    retryFraction: 0.2,
+    fleetRetryReserve: 100,
+    suspicions: {
+      suspect: (targetId) => suspected.push(targetId),
+      confirmLoss: async () => options.confirmLoss?.() ?? false,
+    },
+  });
+  await created.part.start?.();
+  return {
+    url: `http://127.0.0.1:${port}`,
+    relay: created,
+    suspected,
+    stop: async () => {
+      await created.part.stop?.();
+      servers.forEach((server) => {
+        server.close();
+        server.closeAllConnections();
+      });
+    },
+  };
+};
--- a/packages/relay/src/writeRefusal.ts
+++ b/packages/relay/src/writeRefusal.ts
@@ -3,7 +3,10 @@
 
 const msPerSecond = 1_000;
 
-/** Writes a refusal at once. A stream that has begun is cut off, so that it can't look complete. */
+/**
+ * Writes a refusal at once. A stream that has begun is cut off after what was passed on, without the last
+ * chunk, so that it can't look complete.
+ */
 export const writeRefusal = (
   response: http.ServerResponse,
   refusal: Refusal,
@@ -11,7 +14,7 @@
 ): void => {
   if (response.destroyed || response.writableEnded) return;
   if (response.headersSent) {
-    response.destroy();
+    response.socket?.destroySoon();
     return;
   }
   const { cause, statusCode, ran, message, retryAfterMs } = refusal;
