--- a/packages/fleet/src/createPlanKeeper.ts
+++ b/packages/fleet/src/createPlanKeeper.ts
@@ -74,7 +74,7 @@
     if (!isReadable) return;
     if (failing) log.info({ step: 'plan', peer: 'store' }, 'store reached again');
     failing = false;
-    if (provedAt === undefined || moment.monotonicMs > provedAt.monotonicMs) provedAt = moment;
+    if (provedAt === undefined || moment.monotonicMs >= provedAt.monotonicMs) provedAt = moment;
   };
 
   const noteFailure = (failure: objectStore.PlatformFailure) => {
--- /dev/null
+++ b/packages/fleet/src/createTargetList.test.ts
@@ -0,0 +1,97 @@
+import * as clocks from '@comfreydrum/clock';
+import * as errors from '@comfreydrum/errors';
+import * as telemetry from '@comfreydrum/telemetry';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import {
+  createScriptedClient,
+  type ScriptedAnswer,
+} from '../../object-store/src/testing/createScriptedClient';
+import * as fleet from './index';
+
+const test = uvu.suite('target list');
+
+const stored = (name: string, version: number, state: unknown = 'live') => ({
+  kind: 'targets',
+  name,
+  version,
+  value: state,
+});
+
+const decode = (id: string, value: unknown): errors.Result<fleet.Target> =>
+  value === 'live' || value === 'leaving'
+    ? errors.ok({ id, state: value, startedAtMs: 1 } as fleet.Target)
+    : errors.err({ kind: 'invalid', step: 'decode', peer: `store targets/${id}`, message: 'bad' });
+
+const settle = () =>
+  new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+
+const createList = async (...script: readonly ScriptedAnswer[]) => {
+  const clock = clocks.createManualClock(1_000_000);
+  const client = createScriptedClient(...script);
+  const list = fleet.createTargetList({
+    client,
+    clock,
+    log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
+    source: { kind: 'targets', decode },
+    random: () => 0,
+    spacingMs: () => 0,
+  });
+  await list.part.start?.();
+  await settle();
+  return { clock, client, list };
+};
+
+const idsOf = (list: fleet.TargetList) => [...list.all().keys()].sort();
+
+test('follows entries that come, change and go', async () => {
+  const { list, client } = await createList({
+    list: [stored('a', 1), stored('b', 2)],
+    version: 2,
+  });
+  assert.equal(idsOf(list), ['a', 'b']);
+  client.add({
+    watch: { version: 4, changed: [stored('a', 3, 'leaving')], deletedNames: ['b'] },
+  });
+  await settle();
+  assert.equal(idsOf(list), ['a']);
+  assert.is(list.all().get('a')?.state, 'leaving');
+});
+
+test('leaves out an entry of another writer, and keeps the others', async () => {
+  const { list, client } = await createList({
+    list: [stored('a', 1), stored('x', 2, { colour: 'red' })],
+    version: 2,
+  });
+  assert.equal(idsOf(list), ['a']);
+  client.add({ watch: { version: 3, changed: [stored('a', 3, 17)] } });
+  await settle();
+  assert.equal(idsOf(list), [], 'an entry that has become unreadable names no target');
+});
+
+test('takes no older state of an entry for a newer one', async () => {
+  const { list, client } = await createList({ list: [stored('a', 5, 'leaving')], version: 5 });
+  client.add({ watch: { version: 6, changed: [stored('a', 4, 'live')] } });
+  await settle();
+  assert.is(list.all().get('a')?.state, 'leaving');
+});
+
+test('gives entries time to come back after the store was away', async () => {
+  const { list, client, clock } = await createList({
+    list: [stored('a', 1), stored('b', 2)],
+    version: 2,
+  });
+  clock.advance(8_000);
+  client.add({ fail: 'expired' }, { list: [], version: 9 });
+  await settle();
+  assert.equal(idsOf(list), ['a', 'b']);
+  client.add({ watch: { version: 10, changed: [stored('a', 10)] } });
+  await new Promise((resolve) => {
+    setTimeout(resolve, 2_400);
+  });
+  assert.equal(idsOf(list), ['a'], 'the one that is still missing is gone');
+});
+
+test.run();
--- /dev/null
+++ b/packages/formation/src/createLease.test.ts
@@ -0,0 +1,124 @@
+import * as clocks from '@comfreydrum/clock';
+import * as telemetry from '@comfreydrum/telemetry';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { createLease, type Lease } from './createLease';
+import { createFakeNetwork, createFakeStore } from './testing/createFakeNetwork';
+
+const test = uvu.suite('lease of the controller');
+
+const delay = (durationMs: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+const waitUntil = async (holds: () => boolean, withinMs: number) => {
+  const endAtMs = performance.now() + withinMs;
+  while (!holds() && performance.now() < endAtMs) await delay(20);
+  return holds();
+};
+
+const mayAct = (lease: Lease): boolean => {
+  const state = lease.state();
+  return state.kind === 'holder' && state.mayAct;
+};
+
+const tokenOf = (lease: Lease): number => {
+  const state = lease.state();
+  return state.kind === 'holder' ? state.token : 0;
+};
+
+/** Starts daemons of which the first is the first to run. */
+const startDaemons = async (addresses: readonly string[]) => {
+  const store = createFakeStore();
+  const network = createFakeNetwork();
+  const log = telemetry.createLog({ level: 'silent', instanceId: 'test' });
+  let runCount = 0;
+  const start = async (address: string): Promise<Lease> => {
+    runCount += 1;
+    const lease = createLease({
+      client: store,
+      calls: network.join(address),
+      clock: clocks.createSystemClock(),
+      log,
+      key: { kind: 'leases', name: 'controller' },
+      runId: `${address}/${runCount}`,
+      address,
+      random: () => 0.5,
+      ownLoads: () => ({ [`target of ${address}`]: 1, shared: 2 }),
+    });
+    await lease.part.start?.();
+    return lease;
+  };
+  const leases: Lease[] = [];
+  for (const address of addresses) {
+    leases.push(await start(address));
+    if (leases.length === 1) await waitUntil(() => mayAct(leases[0]!), 2_000);
+  }
+  const stop = async () => {
+    for (const lease of leases) await lease.part.stop?.();
+  };
+  return { store, network, leases, start, stop };
+};
+
+test('lets one daemon act, and tells the others how many they are and what they have to do', async () => {
+  const { leases, stop } = await startDaemons(['a', 'b', 'c']);
+  assert.ok(await waitUntil(() => leases.every((lease) => lease.daemonCount() === 3), 3_000));
+  assert.equal(leases.map(mayAct), [true, false, false]);
+  await waitUntil(() => leases[1]!.otherLoads()['shared'] === 4, 2_000);
+  assert.equal(leases[1]!.otherLoads(), { 'target of a': 1, 'target of c': 1, shared: 4 });
+  assert.is(leases[0]!.peerAddresses().length, 2);
+  await stop();
+});
+
+test('passes to another daemon soon after its holder was killed, with a higher token', async () => {
+  const { leases, network, stop } = await startDaemons(['a', 'b', 'c']);
+  const before = tokenOf(leases[0]!);
+  await delay(600);
+  network.kill('a');
+  await leases[0]!.part.stop?.();
+  const others = leases.slice(1);
+  assert.ok(await waitUntil(() => others.some(mayAct), 2_000));
+  assert.is(others.filter(mayAct).length, 1);
+  assert.ok(Math.max(...others.map(tokenOf)) > before);
+  await stop();
+});
+
+test('waits until a holder that is only silent has stopped acting', async () => {
+  const { leases, network, store, stop } = await startDaemons(['a', 'b']);
+  await delay(600);
+  network.silence('a');
+  assert.ok(await waitUntil(() => tokenOf(leases[1]!) > 0, 4_000));
+  assert.not(mayAct(leases[1]!), 'the other one may not know yet');
+  assert.ok(await waitUntil(() => mayAct(leases[1]!), 3_500));
+  assert.not(mayAct(leases[0]!));
+  store.setDown(false);
+  await stop();
+});
+
+test('stops acting when the store does not confirm it any more', async () => {
+  const { leases, store, stop } = await startDaemons(['a']);
+  store.setDown(true);
+  assert.ok(await waitUntil(() => !mayAct(leases[0]!), 4_000));
+  store.setDown(false);
+  assert.ok(await waitUntil(() => mayAct(leases[0]!), 2_500));
+  await stop();
+});
+
+test('finds out what became of a write whose answer was lost', async () => {
+  const { leases, store, stop } = await startDaemons(['a']);
+  store.loseNextAnswer();
+  await delay(1_200);
+  assert.ok(await waitUntil(() => mayAct(leases[0]!), 3_000));
+  await stop();
+});
+
+test('is handed over by a daemon that stops', async () => {
+  const { leases, stop } = await startDaemons(['a', 'b']);
+  await delay(500);
+  await leases[0]!.part.stop?.();
+  assert.ok(await waitUntil(() => mayAct(leases[1]!), 1_500));
+  await stop();
+});
+
+test.run();
--- /dev/null
+++ b/packages/formation/src/planFormation.test.ts
@@ -0,0 +1,186 @@
+import type * as fleet from '@comfreydrum/fleet';
+import * as fastCheck from 'fast-check';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { createFakeFabric, type FakeFabric } from './testing/createFakeFabric';
+import { playFormation } from './testing/playFormation';
+
+const test = uvu.suite('formation of groups');
+
+const large = {
+  name: 'large',
+  groupSize: 4,
+  paceFactor: 1,
+  demandShare: 0.57,
+  loadMs: 16_000,
+  stagedJoinMs: 1_600,
+};
+const small = {
+  name: 'small',
+  groupSize: 3,
+  paceFactor: 0.6,
+  demandShare: 0.43,
+  loadMs: 12_000,
+  stagedJoinMs: 1_100,
+};
+
+const createEngine = (loadFraction = 1): fleet.EngineProfile => ({
+  slotsPerGroup: 18,
+  models: [large, small].map((model) => ({ ...model, loadMs: model.loadMs * loadFraction })),
+  stepMs: 6,
+  stepMsPerRequest: 0.06,
+  stepsPerEvent: 7,
+  promptTokensPerSecond: 50_000,
+  concurrentLoads: 6,
+  loadStartsPerSecond: 4.5,
+});
+
+const targetsPerDomain = 9;
+const zones = ['a', 'b', 'c'] as const;
+
+const addDomains = (fabric: FakeFabric) =>
+  zones.forEach((zone) =>
+    [1, 2].forEach((domain) =>
+      Array.from({ length: targetsPerDomain }, (_, index) =>
+        fabric.add(`${zone}${domain}-${index}`, `${zone}${domain}`, zone),
+      ),
+    ),
+  );
+
+/** Before traffic, loads take a tenth of their time. */
+const startFleet = () => {
+  const engine = createEngine(0.1);
+  const fabric = createFakeFabric({ engine });
+  addDomains(fabric);
+  const controller = playFormation(fabric, engine);
+  controller.play(14_000);
+  controller.setTraffic(true);
+  return { fabric, controller };
+};
+
+test('has every model in every failure domain before traffic', () => {
+  const { fabric } = startFleet();
+  assert.is(fabric.servingCount('large'), 6);
+  assert.is(fabric.servingCount('small'), 9);
+  assert.equal(fabric.violations, []);
+});
+
+test('mends a group with a spare within two seconds of a loss', () => {
+  const { fabric, controller } = startFleet();
+  const lost = fabric
+    .listed()
+    .find(({ membership }) => membership?.groupName.startsWith('large') && membership.rank === 1)!;
+  fabric.kill(lost.id);
+  controller.play(800);
+  assert.is(fabric.servingCount('large'), 5);
+  controller.play(2_200);
+  assert.is(fabric.servingCount('large'), 6);
+  assert.equal(fabric.violations, []);
+});
+
+test('makes one group of the survivors of two, without a load', () => {
+  const { fabric, controller } = startFleet();
+  const smallDomain = fabric
+    .listed()
+    .filter(({ membership }) => membership?.groupName.startsWith('small'))
+    .filter(({ fabricDomain }, _, all) => fabricDomain === all[0]!.fabricDomain);
+  const groups = [...new Set(smallDomain.map(({ membership }) => membership!.groupName))];
+  groups.slice(0, 2).forEach((name) => {
+    const member = smallDomain.find(
+      ({ membership }) => membership!.groupName === name && membership!.rank === 2,
+    )!;
+    fabric.kill(member.id);
+  });
+  controller.play(2_000);
+  assert.is(fabric.servingCount('small'), 8);
+  assert.equal(fabric.violations, []);
+});
+
+test('uses the members of a group whose head died once they have left it', () => {
+  const { fabric, controller } = startFleet();
+  const heads = fabric
+    .listed()
+    .filter(({ membership }) => membership?.groupName.startsWith('large') && membership.rank === 0);
+  fabric.kill(heads[0]!.id);
+  controller.play(3_500);
+  assert.is(fabric.servingCount('large'), 6);
+  assert.equal(fabric.violations, []);
+});
+
+test('takes members out of a group whose head is cut off before it uses them again', () => {
+  const { fabric, controller } = startFleet();
+  const head = fabric
+    .listed()
+    .find(({ membership }) => membership?.groupName.startsWith('large') && membership.rank === 0)!;
+  fabric.cut(head.id);
+  controller.play(3_500);
+  assert.is(fabric.servingCount('large'), 6);
+  assert.equal(fabric.violations, []);
+});
+
+test('forms anew what a controller that was lost had closed or not yet opened', () => {
+  const { fabric, controller } = startFleet();
+  const head = fabric
+    .listed()
+    .find(({ membership }) => membership?.groupName.startsWith('small') && membership.rank === 0)!;
+  fabric.close(head.id, head.membership!.groupName, 'shed-work');
+  controller.takeOver();
+  controller.play(1_500);
+  assert.is(fabric.servingCount('small'), 9);
+  assert.equal(fabric.violations, []);
+});
+
+test('keeps more than half of its groups while two targets are lost every three seconds', () => {
+  const { fabric, controller } = startFleet();
+  const joinedIds = () =>
+    fabric
+      .listed()
+      .filter(({ id, membership }) => membership?.state !== undefined && fabric.isReachable(id))
+      .map(({ id }) => id);
+  let groupSeconds = 0;
+  for (let second = 0; second < 33; second += 1) {
+    if (second % 3 === 2) {
+      const ids = joinedIds();
+      [0.2, 0.7].forEach((part) => fabric.kill(ids[Math.floor(ids.length * part)]!));
+      const zone = zones[second % zones.length]!;
+      [1, 2].forEach((domain) => fabric.add(`new-${second}-${domain}`, `${zone}${domain}`, zone));
+    }
+    controller.play(1_000);
+    groupSeconds += fabric.servingCount('large') + fabric.servingCount('small');
+  }
+  assert.equal(fabric.violations, []);
+  const meanGroups = groupSeconds / 33;
+  assert.ok(meanGroups >= 8, `${meanGroups.toFixed(1)} of 15 groups served on average`);
+});
+
+test('never breaks a rule, whatever dies, leaves or takes over when', () => {
+  const incident = fastCheck.record({
+    kind: fastCheck.constantFrom('kill', 'kill', 'cut', 'leave', 'domain', 'takeOver', 'add'),
+    pick: fastCheck.nat(1_000),
+    afterMs: fastCheck.integer({ min: 50, max: 2_000 }),
+  });
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(incident, { maxLength: 14 }), (incidents) => {
+      const { fabric, controller } = startFleet();
+      incidents.forEach(({ kind, pick, afterMs }, index) => {
+        const ids = fabric.aliveIds();
+        const id = ids[pick % ids.length]!;
+        if (kind === 'kill') fabric.kill(id);
+        if (kind === 'cut') fabric.cut(id);
+        if (kind === 'leave') fabric.beginLeaving(id);
+        if (kind === 'takeOver') controller.takeOver();
+        if (kind === 'add') fabric.add(`added-${index}`, 'a1', 'a');
+        if (kind === 'domain') {
+          const prefix = id.slice(0, 2);
+          ids.filter((other) => other.startsWith(prefix)).forEach(fabric.kill);
+        }
+        controller.play(afterMs);
+      });
+      controller.play(4_000);
+      assert.equal(fabric.violations, []);
+    }),
+    { numRuns: 25, seed: 7 },
+  );
+});
+
+test.run();
--- /dev/null
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -0,0 +1,283 @@
+import type * as fleet from '@comfreydrum/fleet';
+import type { CloseMode, OrderOutcome } from '../TargetOrders';
+
+/** A break of what must always hold. */
+export type Violation = 'two-groups' | 'partial-group' | 'too-many-loads';
+
+interface Work {
+  readonly kind: 'join' | 'open' | 'stage';
+  readonly modelName?: string;
+  /** How much of a load, or of a wait, is left at full speed. */
+  leftMs: number;
+  readonly isLoad: boolean;
+}
+
+interface FakeTarget {
+  readonly id: string;
+  readonly startedAtMs: number;
+  readonly fabricDomain: string;
+  readonly failureDomain: string;
+  staged: string[];
+  loaded: string[];
+  membership: fleet.GroupMembership | undefined;
+  epochSeen: number;
+  members: readonly string[];
+  alive: boolean;
+  isCut: boolean;
+  diedAtMs: number;
+  work: Work | undefined;
+  staging: Work | undefined;
+  state: 'live' | 'leaving';
+}
+
+export interface FakeFabricOptions {
+  readonly engine: fleet.EngineProfile;
+  /** How long the list takes to show a change, and to drop a dead target. */
+  readonly listLagMs?: number;
+  readonly lapseMs?: number;
+}
+
+/** Targets that join, open and die as the platform's do, in a time that the test moves. */
+export interface FakeFabric {
+  readonly add: (id: string, fabricDomain: string, failureDomain: string) => void;
+  readonly kill: (id: string) => void;
+  /** Cuts a target off from every daemon; it goes on serving what it can. */
+  readonly cut: (id: string) => void;
+  readonly beginLeaving: (id: string) => void;
+  readonly advance: (durationMs: number) => void;
+  /** Gives the targets as the list shows them. */
+  readonly listed: () => readonly fleet.Target[];
+  readonly isReachable: (id: string) => boolean;
+  readonly join: (
+    id: string,
+    order: {
+      readonly groupName: string;
+      readonly epoch: number;
+      readonly modelName: string;
+      readonly memberIds: readonly string[];
+    },
+  ) => OrderOutcome;
+  readonly open: (id: string, groupName: string) => OrderOutcome;
+  readonly close: (id: string, groupName: string, mode: CloseMode) => OrderOutcome;
+  readonly leave: (id: string, groupName: string) => OrderOutcome;
+  readonly stage: (id: string, modelName: string) => OrderOutcome;
+  /** Gives the groups of a model that can serve now. */
+  readonly servingCount: (modelName: string) => number;
+  readonly aliveIds: () => readonly string[];
+  readonly violations: readonly Violation[];
+  readonly nowMs: () => number;
+}
+
+const inMemoryJoinMs = 200;
+const formMs = 300;
+const closeMs = 50;
+const defaultListLagMs = 50;
+const defaultLapseMs = 3_600;
+
+/** Creates a fabric without targets. */
+export const createFakeFabric = ({
+  engine,
+  listLagMs = defaultListLagMs,
+  lapseMs = defaultLapseMs,
+}: FakeFabricOptions): FakeFabric => {
+  const targets = new Map<string, FakeTarget>();
+  const violations: Violation[] = [];
+  const shown: { readonly atMs: number; readonly list: readonly fleet.Target[] }[] = [];
+  let nowMs = 0;
+
+  const modelOf = (name: string) => engine.models.find((model) => model.name === name)!;
+
+  const setState = (target: FakeTarget, state: fleet.MembershipState) => {
+    if (target.membership) target.membership = { ...target.membership, state };
+  };
+
+  const headOf = ({ members }: FakeTarget) => targets.get(members[0] ?? '');
+
+  /** Tells whether the head of a target's group still serves it. */
+  const isBound = (target: FakeTarget): boolean => {
+    const head = headOf(target);
+    const own = target.membership;
+    if (own === undefined || head === undefined || !head.alive) return false;
+    if (head.membership?.groupName !== own.groupName) return false;
+    return head.membership.state === 'open' || head.membership.state === 'closing';
+  };
+
+  const isWhole = (head: FakeTarget): boolean =>
+    head.members.every((id) => {
+      const member = targets.get(id);
+      return (
+        member?.alive === true && member.membership?.groupName === head.membership?.groupName
+      );
+    });
+
+  const snapshot = (): readonly fleet.Target[] =>
+    [...targets.values()]
+      .filter(({ alive, diedAtMs }) => alive || nowMs - diedAtMs < lapseMs)
+      .map((target) => ({
+        id: target.id,
+        startedAtMs: target.startedAtMs,
+        serviceName: 'models',
+        address: `${target.id}:1`,
+        failureDomain: target.failureDomain,
+        state: target.state,
+        slots: engine.slotsPerGroup,
+        fabricDomain: target.fabricDomain,
+        stagedModels: target.staged,
+        loadedModels: target.loaded,
+        membership: target.membership,
+      }));
+
+  const loadCount = () =>
+    [...targets.values()]
+      .filter(({ alive }) => alive)
+      .flatMap(({ work, staging }) => [work, staging])
+      .filter((work) => work?.isLoad).length;
+
+  const finish = (target: FakeTarget, work: Work) => {
+    const modelName = work.modelName!;
+    if (work.kind === 'open') {
+      setState(target, 'open');
+      return;
+    }
+    if (work.isLoad) target.staged = [modelName];
+    if (work.kind === 'stage') return;
+    target.loaded = [modelName];
+    setState(target, 'ready');
+  };
+
+  const workOn = (target: FakeTarget, key: 'work' | 'staging', stepMs: number, slowdown: number) => {
+    const work = target[key];
+    if (work === undefined) return;
+    work.leftMs -= work.isLoad ? stepMs / slowdown : stepMs;
+    if (work.leftMs > 0) return;
+    target[key] = undefined;
+    finish(target, work);
+  };
+
+  const stepMs = 10;
+  const step = () => {
+    const slowdown = Math.max(1, loadCount() / engine.concurrentLoads);
+    targets.forEach((target) => {
+      if (!target.alive) return;
+      workOn(target, 'work', stepMs, slowdown);
+      workOn(target, 'staging', stepMs, slowdown);
+    });
+    nowMs += stepMs;
+    shown.push({ atMs: nowMs, list: snapshot() });
+    while (shown.length > 1 && shown[1]!.atMs <= nowMs - listLagMs) shown.shift();
+  };
+
+  const find = (id: string): FakeTarget | undefined => {
+    const target = targets.get(id);
+    return target?.alive && !target.isCut ? target : undefined;
+  };
+
+  return {
+    add: (id, fabricDomain, failureDomain) => {
+      targets.set(id, {
+        id,
+        startedAtMs: nowMs,
+        fabricDomain,
+        failureDomain,
+        staged: [],
+        loaded: [],
+        membership: undefined,
+        epochSeen: 0,
+        members: [],
+        alive: true,
+        isCut: false,
+        diedAtMs: 0,
+        work: undefined,
+        staging: undefined,
+        state: 'live',
+      });
+    },
+    kill: (id) => {
+      const target = targets.get(id);
+      if (!target?.alive) return;
+      target.alive = false;
+      target.diedAtMs = nowMs;
+    },
+    cut: (id) => {
+      const target = targets.get(id);
+      if (target) target.isCut = true;
+    },
+    beginLeaving: (id) => {
+      const target = targets.get(id);
+      if (target) target.state = 'leaving';
+    },
+    advance: (durationMs) => {
+      for (let leftMs = durationMs; leftMs > 0; leftMs -= stepMs) step();
+    },
+    listed: () => shown[0]?.list ?? snapshot(),
+    isReachable: (id) => find(id) !== undefined,
+    join: (id, { groupName, epoch, modelName, memberIds }) => {
+      const target = find(id);
+      if (target === undefined) return 'unanswered';
+      if (epoch < target.epochSeen) return 'outdated';
+      if (target.membership?.groupName !== groupName && isBound(target)) {
+        violations.push('two-groups');
+      }
+      const model = modelOf(modelName);
+      const isLoad = !target.loaded.includes(modelName) && !target.staged.includes(modelName);
+      const hostMs = target.staged.includes(modelName) ? model.stagedJoinMs : model.loadMs;
+      const leftMs = target.loaded.includes(modelName) ? inMemoryJoinMs : hostMs;
+      target.epochSeen = epoch;
+      target.members = memberIds;
+      target.loaded = target.loaded.filter((name) => name === modelName);
+      target.membership = {
+        groupName,
+        epoch,
+        rank: memberIds.indexOf(id),
+        state: 'joining',
+      };
+      target.work = { kind: 'join', modelName, leftMs, isLoad };
+      return 'accepted';
+    },
+    open: (id, groupName) => {
+      const target = find(id);
+      if (target === undefined) return 'unanswered';
+      const { membership } = target;
+      if (membership?.groupName !== groupName || membership.state !== 'ready') return 'conflict';
+      if (!isWhole(target)) violations.push('partial-group');
+      target.work = { kind: 'open', leftMs: formMs, isLoad: false };
+      return 'accepted';
+    },
+    close: (id, groupName) => {
+      const target = find(id);
+      if (target === undefined) return 'unanswered';
+      if (target.membership?.groupName !== groupName) return 'conflict';
+      target.work = undefined;
+      setState(target, 'closing');
+      target.work = { kind: 'join', modelName: target.loaded[0], leftMs: closeMs, isLoad: false };
+      return 'accepted';
+    },
+    leave: (id, groupName) => {
+      const target = find(id);
+      if (target === undefined) return 'unanswered';
+      if (target.membership?.groupName !== groupName) return 'conflict';
+      target.membership = undefined;
+      return 'accepted';
+    },
+    stage: (id, modelName) => {
+      const target = find(id);
+      if (target === undefined) return 'unanswered';
+      if (target.staging !== undefined) return 'conflict';
+      const { loadMs } = modelOf(modelName);
+      target.staging = { kind: 'stage', modelName, leftMs: loadMs, isLoad: true };
+      return 'accepted';
+    },
+    servingCount: (modelName) =>
+      [...targets.values()].filter(
+        (target) =>
+          target.alive &&
+          target.membership?.rank === 0 &&
+          target.membership.state === 'open' &&
+          target.loaded[0] === modelName &&
+          isWhole(target),
+      ).length,
+    aliveIds: () => [...targets.values()].filter(({ alive }) => alive).map(({ id }) => id),
+    violations,
+    nowMs: () => nowMs,
+  };
+};
--- /dev/null
+++ b/packages/formation/src/testing/playFormation.ts
@@ -0,0 +1,112 @@
+import * as clocks from '@comfreydrum/clock';
+import * as fleet from '@comfreydrum/fleet';
+import { createOrderBook } from '../createOrderBook';
+import type { FormationStep } from '../FormationStep';
+import { planFormation } from '../planFormation';
+import type { FakeFabric } from './createFakeFabric';
+
+/** A controller of a test, in the time of a fake fabric. */
+export interface PlayedController {
+  /** Moves the time on and takes the steps that are due. */
+  readonly play: (durationMs: number) => void;
+  /** Loses what the controller knew, as when another daemon takes over. */
+  readonly takeOver: () => void;
+  /** Whether callers have come, so that loads are slow. */
+  readonly setTraffic: (hasTraffic: boolean) => void;
+}
+
+const stepMs = 50;
+/** How long probes take to find that a target is dead. */
+const detectionMs = 400;
+
+/** Plays the planner against a fabric. */
+export const playFormation = (
+  fabric: FakeFabric,
+  engine: fleet.EngineProfile,
+): PlayedController => {
+  const clock = clocks.createManualClock();
+  const deadSinceMs = new Map<string, number>();
+  let book = createOrderBook(clock);
+  let token = 1;
+  let epochCount = 0;
+  let closedKeys = new Set<string>();
+  let hasTraffic = false;
+
+  const isLost = ({ id }: Pick<fleet.Target, 'id'>): boolean => {
+    if (fabric.isReachable(id)) return false;
+    const sinceMs = deadSinceMs.get(id) ?? fabric.nowMs();
+    deadSinceMs.set(id, sinceMs);
+    return fabric.nowMs() - sinceMs >= detectionMs;
+  };
+
+  const take = (step: FormationStep) => {
+    switch (step.kind) {
+      case 'form': {
+        epochCount += 1;
+        const epoch = token * 1_000 + epochCount;
+        const groupName = fleet.formGroupName(step.modelName, epoch);
+        const memberIds = step.members.map(({ id }) => id);
+        step.members.forEach((member) => {
+          book.note(member);
+          const order = { groupName, epoch, modelName: step.modelName, memberIds };
+          if (fabric.join(member.id, order) !== 'accepted') book.fail(member);
+        });
+        return;
+      }
+      case 'open':
+        book.note(step.head);
+        if (fabric.open(step.head.id, step.group.name) !== 'accepted') book.fail(step.head);
+        return;
+      case 'close':
+        book.note(step.head);
+        closedKeys.add(step.group.key);
+        fabric.close(step.head.id, step.group.name, step.mode);
+        return;
+      case 'leave':
+        book.note(step.member);
+        fabric.leave(step.member.id, step.group.name);
+        return;
+      default:
+        book.noteStaging(step.target, step.modelName);
+        if (fabric.stage(step.target.id, step.modelName) !== 'accepted') book.fail(step.target);
+    }
+  };
+
+  const step = () => {
+    const targets = fabric.listed();
+    const listed = new Map(targets.map((target) => [target.id, target]));
+    book.settle(listed);
+    planFormation({
+      engine,
+      targets,
+      isLost,
+      isHeadGone: ({ members }) => {
+        const [headId] = members[0]?.membership.rank === 0 ? [members[0].id] : [undefined];
+        return headId === undefined || isLost({ id: headId });
+      },
+      hasHeadMovedOn: () => false,
+      mayOpen: ({ key, epoch }) => Math.floor(epoch / 1_000) === token && !closedKeys.has(key),
+      isOrdered: book.isOrdered,
+      stagingModel: book.stagingModel,
+      isBeforeTraffic: !hasTraffic,
+    }).forEach(take);
+  };
+
+  return {
+    play: (durationMs) => {
+      for (let leftMs = durationMs; leftMs > 0; leftMs -= stepMs) {
+        fabric.advance(stepMs);
+        clock.advance(stepMs);
+        step();
+      }
+    },
+    takeOver: () => {
+      book = createOrderBook(clock);
+      closedKeys = new Set();
+      token += 1;
+    },
+    setTraffic: (next) => {
+      hasTraffic = next;
+    },
+  };
+};
--- /dev/null
+++ b/packages/object-store/src/createKindFollower.test.ts
@@ -0,0 +1,80 @@
+import * as clocks from '@comfreydrum/clock';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import * as objectStore from './index';
+import { createScriptedClient, type ScriptedAnswer } from './testing/createScriptedClient';
+
+const test = uvu.suite('follower of a kind');
+
+const object = (name: string, version: number): objectStore.StoredObject => ({
+  kind: 'k',
+  name,
+  version,
+  value: version,
+});
+
+/** Follows a script to its end, and tells what was handed over. */
+const follow = async (...script: readonly ScriptedAnswer[]) => {
+  const client = createScriptedClient(...script);
+  const seen: string[] = [];
+  const abort = new AbortController();
+  const follower = objectStore.createKindFollower({
+    client,
+    clock: clocks.createSystemClock(),
+    kind: 'k',
+    waitMs: 10,
+    spacingMs: () => 0,
+    maxRetryMs: 2,
+    random: () => 0.5,
+    onSnapshot: (objects) => seen.push(`all ${objects.map(({ name }) => name).join()}`),
+    onChange: ({ changed, deletedNames }) =>
+      seen.push(`changed ${changed.map(({ name }) => name).join()} gone ${deletedNames.join()}`),
+    onCurrent: () => seen.push('current'),
+    onFailure: ({ kind }) => seen.push(`failed ${kind}`),
+  });
+  void follower.run(abort.signal);
+  while (client.calls.length <= script.length) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 1);
+    });
+  }
+  abort.abort();
+  return { calls: client.calls, seen };
+};
+
+test('lists, then watches from where it stands', async () => {
+  const { calls, seen } = await follow(
+    { list: [object('a', 3)], version: 5 },
+    { watch: { version: 7, changed: [object('b', 7)] } },
+    { watch: { version: 8, deletedNames: ['a'] } },
+  );
+  assert.equal(calls, ['list k', 'watch k 5', 'watch k 7', 'watch k 8']);
+  assert.equal(seen, [
+    'all a',
+    'current',
+    'changed b gone ',
+    'current',
+    'changed  gone a',
+    'current',
+  ]);
+});
+
+test('lists anew when the history is gone, and proves nothing by a failed call', async () => {
+  const { calls, seen } = await follow(
+    { list: [], version: 5 },
+    { fail: 'unreachable' },
+    { fail: 'expired' },
+    { list: [object('c', 9)], version: 9 },
+  );
+  assert.equal(calls, ['list k', 'watch k 5', 'watch k 5', 'list k', 'watch k 9']);
+  assert.equal(seen, [
+    'all ',
+    'current',
+    'failed unreachable',
+    'failed expired',
+    'all c',
+    'current',
+  ]);
+});
+
+test.run();
--- /dev/null
+++ b/packages/object-store/src/testing/createScriptedClient.ts
@@ -0,0 +1,67 @@
+import * as errors from '@comfreydrum/errors';
+import type { PlatformClient, StoredObject, WatchBatch } from '../PlatformClient';
+import type { PlatformFailure } from '../PlatformFailure';
+
+type Failed = PlatformFailure['kind'];
+
+/** One scripted answer: what a call gives, or how it fails. */
+export type ScriptedAnswer =
+  | { readonly list: readonly StoredObject[]; readonly version: number }
+  | { readonly watch: Partial<WatchBatch> & { readonly version: number } }
+  | { readonly object: StoredObject }
+  | { readonly fail: Failed };
+
+/** A client that gives answers in a fixed order, and nothing once they are used up. */
+export interface ScriptedClient extends PlatformClient {
+  readonly calls: readonly string[];
+  readonly add: (...answers: readonly ScriptedAnswer[]) => void;
+}
+
+const failure = (kind: Failed) =>
+  errors.err<PlatformFailure>({ kind, step: 'test', peer: 'store', message: kind });
+
+/** Creates a client that answers as told. */
+export const createScriptedClient = (...script: readonly ScriptedAnswer[]): ScriptedClient => {
+  const answers = [...script];
+  const calls: string[] = [];
+  let wake: (() => void) | undefined;
+
+  const next = async (call: string): Promise<ScriptedAnswer> => {
+    calls.push(call);
+    while (answers.length === 0) {
+      await new Promise<void>((resolve) => {
+        wake = resolve;
+      });
+    }
+    return answers.shift()!;
+  };
+
+  const read = async <Value>(call: string, pick: (answer: ScriptedAnswer) => Value | undefined) => {
+    const answer = await next(call);
+    if ('fail' in answer) return failure(answer.fail);
+    const value = pick(answer);
+    if (value === undefined) throw new Error(`call ${call} met another answer of the script`);
+    return errors.ok(value);
+  };
+
+  return {
+    calls,
+    add: (...more) => {
+      answers.push(...more);
+      wake?.();
+    },
+    get: ({ kind, name }) =>
+      read(`get ${kind}/${name}`, (answer) => ('object' in answer ? answer.object : undefined)),
+    list: (kind) =>
+      read(`list ${kind}`, (answer) =>
+        'list' in answer ? { version: answer.version, objects: answer.list } : undefined,
+      ),
+    watch: (kind, since) =>
+      read(`watch ${kind} ${since}`, (answer) =>
+        'watch' in answer ? { changed: [], deletedNames: [], ...answer.watch } : undefined,
+      ),
+    put: async () => failure('ambiguous'),
+    remove: async () => failure('ambiguous'),
+    instances: async () => failure('not-found'),
+  };
+};
