--- a/packages/formation/src/testing/createFakeFabric.ts
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -105,9 +105,7 @@
   const isWhole = (head: FakeTarget): boolean =>
     head.members.every((id) => {
       const member = targets.get(id);
-      return (
-        member?.alive === true && member.membership?.groupName === head.membership?.groupName
-      );
+      return member?.alive === true && member.membership?.groupName === head.membership?.groupName;
     });
 
   const snapshot = (): readonly fleet.Target[] =>
@@ -145,7 +143,12 @@
     setState(target, 'ready');
   };
 
-  const workOn = (target: FakeTarget, key: 'work' | 'staging', stepMs: number, slowdown: number) => {
+  const workOn = (
+    target: FakeTarget,
+    key: 'work' | 'staging',
+    stepMs: number,
+    slowdown: number,
+  ) => {
     const work = target[key];
     if (work === undefined) return;
     work.leftMs -= work.isLoad ? stepMs / slowdown : stepMs;
--- a/packages/object-store/src/testing/createScriptedClient.ts
+++ b/packages/object-store/src/testing/createScriptedClient.ts
@@ -24,16 +24,15 @@
 export const createScriptedClient = (...script: readonly ScriptedAnswer[]): ScriptedClient => {
   const answers = [...script];
   const calls: string[] = [];
-  let wake: (() => void) | undefined;
+  const waiting: ((answer: ScriptedAnswer) => void)[] = [];
 
   const next = async (call: string): Promise<ScriptedAnswer> => {
     calls.push(call);
-    while (answers.length === 0) {
-      await new Promise<void>((resolve) => {
-        wake = resolve;
-      });
-    }
-    return answers.shift()!;
+    const answer = answers.shift();
+    if (answer !== undefined) return answer;
+    return new Promise((resolve) => {
+      waiting.push(resolve);
+    });
   };
 
   const read = async <Value>(call: string, pick: (answer: ScriptedAnswer) => Value | undefined) => {
@@ -47,8 +46,11 @@
   return {
     calls,
     add: (...more) => {
-      answers.push(...more);
-      wake?.();
+      more.forEach((answer) => {
+        const resolve = waiting.shift();
+        if (resolve === undefined) answers.push(answer);
+        else resolve(answer);
+      });
     },
     get: ({ kind, name }) =>
       read(`get ${kind}/${name}`, (answer) => ('object' in answer ? answer.object : undefined)),
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -42,7 +42,10 @@
   };
 };
 
-const files = await findFiles(['packages', 'apps', 'proofs', 'benchmarks', 'scripts'], '.test.ts');
+const files = await findFiles(
+  ['packages', 'platform', 'apps', 'proofs', 'benchmarks', 'scripts'],
+  '.test.ts',
+);
 const wanted = process.argv.slice(2);
 const selected = files.filter((file) => wanted.every((part) => file.includes(part)));
 const isAlone = (file: string) => file.endsWith(aloneSuffix);
