--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '.artifacts/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', '.artifacts/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -14,6 +14,9 @@
   lastEventAtMs: number | undefined;
   /** How many events this response has. */
   eventCount: number;
+  firstEventAtMs: number | undefined;
+  /** The longest time between two events of this response. */
+  maxGapMs: number;
 }
 
 /** How one run of a stream ended. */
@@ -57,8 +60,11 @@
 
     const noteTimes = (nowMs: number) => {
       const { lastEventAtMs } = progress;
-      if (lastEventAtMs === undefined) metrics.firstEventMs.record(nowMs - context.arrivedAtMs);
-      else {
+      if (lastEventAtMs === undefined) {
+        progress.firstEventAtMs = nowMs;
+        metrics.firstEventMs.record(nowMs - context.arrivedAtMs);
+      } else {
+        progress.maxGapMs = Math.max(progress.maxGapMs, nowMs - lastEventAtMs);
         metrics.gapMs.record(nowMs - lastEventAtMs);
         if (!isFirstOfRun) board.onGap(candidate.key, nowMs - lastEventAtMs);
       }
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -115,6 +115,10 @@
 };
 
 const describe = (result: ServeResult): Readonly<Record<string, unknown>> => {
+  if (result.kind === 'answered') {
+    const { kind, statusCode, timing } = result;
+    return { kind, statusCode, ...timing };
+  }
   if (result.kind !== 'refused') return result;
   const { cause, statusCode, ran, message, retryAfterMs } = result.refusal;
   return { kind: result.kind, cause, statusCode, ran, message, retryAfterMs };
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -37,6 +37,8 @@
     lastEventId: request.lastEventId,
     lastEventAtMs: undefined,
     eventCount: 0,
+    firstEventAtMs: undefined,
+    maxGapMs: 0,
   };
   const tried = new Set<string>();
   let runCount = 0;
@@ -146,7 +148,17 @@
     if (result.kind === 'complete') {
       if (!response.headersSent) response.writeHead(result.statusCode);
       response.end();
-      return { kind: 'answered', statusCode: result.statusCode };
+      return {
+        kind: 'answered',
+        statusCode: result.statusCode,
+        timing: {
+          targetId: candidate.targetId,
+          triedCount: tried.size,
+          events: progress.eventCount,
+          firstEventMs: Math.round((progress.firstEventAtMs ?? nowMs) - context.arrivedAtMs),
+          maxGapMs: Math.round(progress.maxGapMs),
+        },
+      };
     }
     noteFailure(candidate, result, nowMs);
   }
