--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -20,7 +20,7 @@
  * Requests that may wait at a head whose places are all taken: with one stream ending every 60 ms or so, the
  * first event of one more would come after its target.
  */
-const waitingPerHead = 2;
+const waitingPerHead = -1;
 const sendableMs = 20;
 
 const isOverloaded = ({ evidence, otherInFlight, slots }: Candidate): boolean =>
