--- a/apps/comfreydrumd/src/relay/runRelayDaemon.ts
+++ b/apps/comfreydrumd/src/relay/runRelayDaemon.ts
@@ -21,7 +21,7 @@
   const changed = Object.entries(loaded.value)
     .filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(Reflect.get(inForce, name)))
     .map(([name]) => name);
-  if (loaded.value.log.level !== log.level) log.level = loaded.value.log.level;
+  telemetry.setLogLevel(log, loaded.value.log.level);
   log.info(
     { step: 'reload', changed },
     'settings read again; all but the log level wait for a start',
@@ -75,9 +75,15 @@
     buffered.flush();
     process.exit(0);
   };
-  process.once('SIGTERM', () => void stop('SIGTERM'));
-  process.once('SIGINT', () => void stop('SIGINT'));
-  process.on('SIGHUP', () => void reload(settingsFile, log, daemonSettings));
+  process.once('SIGTERM', () => {
+    void stop('SIGTERM');
+  });
+  process.once('SIGINT', () => {
+    void stop('SIGINT');
+  });
+  process.on('SIGHUP', () => {
+    void reload(settingsFile, log, daemonSettings);
+  });
 
   await owner.start();
   log.info({ step: 'start', pid: process.pid, uptimeMs: Math.round(performance.now()) }, 'started');
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -40,7 +40,7 @@
     },
   },
   {
-    files: ['packages/*/src/testing/**'],
+    files: ['packages/*/src/testing/**', 'platform/src/testing/**'],
     rules: {
       'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }],
     },
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -71,6 +71,9 @@
   let epochCount = 0;
   let scheduled = false;
 
+  /** Takes the next step; set once everything that it uses is there. */
+  let step = () => {};
+
   const schedule = () => {
     if (scheduled) return;
     scheduled = true;
@@ -174,7 +177,7 @@
     }
   };
 
-  function step() {
+  step = () => {
     headCheck.learn(fleet.groupsOf(targets.all().values()));
     const state = lease.state();
     const current = plan.current();
@@ -198,7 +201,7 @@
         isBeforeTraffic: options.isBeforeTraffic(),
       }).forEach((next) => takeStep(next, state.token));
     });
-  }
+  };
 
   const takeSuspicion = ({ targetId, isSilent }: Suspicion) => {
     const target = targets.all().get(targetId);
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -1,5 +1,5 @@
 import type * as clocks from '@comfreydrum/clock';
-import * as fleet from '@comfreydrum/fleet';
+import type * as fleet from '@comfreydrum/fleet';
 import type * as peers from '@comfreydrum/peers';
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
@@ -32,10 +32,10 @@
 
 interface Head {
   readonly target: fleet.Target;
-  seenAtMs: number;
-  checkedAtMs: number;
-  checking: boolean;
-  gone: boolean;
+  readonly seenAtMs: number;
+  readonly checkedAtMs: number;
+  readonly checking: boolean;
+  readonly gone: boolean;
 }
 
 const probeMethod = 'formation.probe';
@@ -101,19 +101,22 @@
     return checked?.success ? checked.data.reached : undefined;
   };
 
-  const check = async (groupKey: string, head: Head) => {
-    head.checking = true;
-    const { target } = head;
+  const update = (groupKey: string, change: Partial<Head>) => {
+    const head = heads.get(groupKey);
+    if (head !== undefined) heads.set(groupKey, { ...head, ...change });
+  };
+
+  const check = async (groupKey: string, { target }: Head) => {
+    update(groupKey, { checking: true });
     const asked = options.peerAddresses().slice(0, maxAskedPeers);
     const [own, ...others] = await Promise.all([
       reach(target),
       ...asked.map((address) => askPeer(address, target)),
     ]);
-    head.checking = false;
-    head.checkedAtMs = clock.monotonicMs();
     const answered = others.filter((answer) => answer !== undefined);
     const isReached = own === true || answered.includes(true);
-    head.gone = !isReached && answered.length * 2 >= asked.length;
+    const gone = !isReached && answered.length * 2 >= asked.length;
+    update(groupKey, { checking: false, checkedAtMs: clock.monotonicMs(), gone });
     log.info(
       {
         step: 'head check',
@@ -123,9 +126,9 @@
         ownReached: own,
         askedCount: asked.length,
         answeredCount: answered.length,
-        gone: head.gone,
+        gone,
       },
-      head.gone ? 'no daemon reaches the head' : 'the head may still serve',
+      gone ? 'no daemon reaches the head' : 'the head may still serve',
     );
     if (own === true) options.onReached(target);
     options.onChange();
@@ -142,8 +145,7 @@
     learn: (groups) => {
       const nowMs = clock.monotonicMs();
       groups.forEach(({ key, head }) => {
-        const known = heads.get(key);
-        if (known !== undefined) known.seenAtMs = nowMs;
+        if (heads.has(key)) update(key, { seenAtMs: nowMs });
         else if (head !== undefined) {
           heads.set(key, {
             target: head,
--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -65,7 +65,7 @@
   const { leases, stop } = await startDaemons(['a', 'b', 'c']);
   assert.ok(await waitUntil(() => leases.every((lease) => lease.daemonCount() === 3), 3_000));
   assert.equal(leases.map(mayAct), [true, false, false]);
-  await waitUntil(() => leases[1]!.otherLoads()['shared'] === 4, 2_000);
+  await waitUntil(() => leases[1]!.otherLoads().shared === 4, 2_000);
   assert.equal(leases[1]!.otherLoads(), { 'target of a': 1, 'target of c': 1, shared: 4 });
   assert.is(leases[0]!.peerAddresses().length, 2);
   await stop();
--- a/packages/formation/src/createLossDetector.ts
+++ b/packages/formation/src/createLossDetector.ts
@@ -32,36 +32,36 @@
 const recheckMs = 2_000;
 
 interface Suspect {
-  silentCount: number;
-  asking: boolean;
-  answeredAtMs: number;
-  askedAtMs: number;
-  lost: boolean;
+  readonly silentCount: number;
+  readonly asking: boolean;
+  readonly answeredAtMs: number;
+  readonly askedAtMs: number;
+  readonly lost: boolean;
 }
 
+const unsuspected: Suspect = {
+  silentCount: 0,
+  asking: false,
+  answeredAtMs: -Infinity,
+  askedAtMs: -Infinity,
+  lost: false,
+};
+
 /** Creates a detector that suspects nobody. */
 export const createLossDetector = (options: LossDetectorOptions): LossDetector => {
   const { clock, log, orders } = options;
   const suspects = new Map<string, Suspect>();
 
-  const suspectOf = (target: fleet.Target): Suspect => {
-    const key = fleet.runKeyOf(target);
-    const known = suspects.get(key);
-    if (known !== undefined) return known;
-    const created = {
-      silentCount: 0,
-      asking: false,
-      answeredAtMs: -Infinity,
-      askedAtMs: -Infinity,
-      lost: false,
-    };
-    suspects.set(key, created);
-    return created;
+  const suspectOf = (target: fleet.Target): Suspect =>
+    suspects.get(fleet.runKeyOf(target)) ?? unsuspected;
+
+  const update = (target: fleet.Target, change: Partial<Suspect>) => {
+    suspects.set(fleet.runKeyOf(target), { ...suspectOf(target), ...change });
   };
 
-  const setLost = (target: fleet.Target, suspect: Suspect, lost: boolean, reason: string) => {
-    if (suspect.lost === lost) return;
-    suspect.lost = lost;
+  const setLost = (target: fleet.Target, lost: boolean, reason: string) => {
+    if (suspectOf(target).lost === lost) return;
+    update(target, { lost });
     log.info(
       { step: 'probe', targetId: target.id, peer: target.address, lost, reason },
       lost ? 'target taken for lost' : 'target answers again',
@@ -69,30 +69,31 @@
     options.onChange();
   };
 
-  const probe = async (target: fleet.Target, suspect: Suspect): Promise<void> => {
-    suspect.asking = true;
-    suspect.askedAtMs = clock.monotonicMs();
+  const noteAnswer = (target: fleet.Target) =>
+    update(target, { silentCount: 0, answeredAtMs: clock.monotonicMs() });
+
+  const probe = async (target: fleet.Target): Promise<void> => {
+    update(target, { asking: true, askedAtMs: clock.monotonicMs() });
     const result = await orders.probe(target, probeTimeoutMs);
-    suspect.asking = false;
+    update(target, { asking: false });
     if (result.ok) {
-      suspect.silentCount = 0;
-      suspect.answeredAtMs = clock.monotonicMs();
+      noteAnswer(target);
       const isOtherRun = result.value.startedAtMs !== target.startedAtMs;
-      setLost(target, suspect, isOtherRun, isOtherRun ? 'another run answers' : 'answered');
+      setLost(target, isOtherRun, isOtherRun ? 'another run answers' : 'answered');
       return;
     }
-    suspect.silentCount += 1;
+    const silentCount = suspectOf(target).silentCount + 1;
+    update(target, { silentCount });
     const isRefused = result.error.kind === 'refused';
-    if (isRefused || suspect.silentCount >= silentProbes) {
-      setLost(target, suspect, true, result.error.message);
+    if (isRefused || silentCount >= silentProbes) {
+      setLost(target, true, result.error.message);
       return;
     }
-    await probe(target, suspect);
+    await probe(target);
   };
 
   const ask = (target: fleet.Target) => {
-    const suspect = suspectOf(target);
-    if (!suspect.asking) void probe(target, suspect);
+    if (!suspectOf(target).asking) void probe(target);
   };
 
   return {
@@ -104,16 +105,14 @@
           return !lost && (silentElsewhere || nowMs - answeredAtMs >= answeredStandsMs);
         })
         .forEach((target) => {
-          const suspect = suspectOf(target);
-          if (silentElsewhere && !suspect.asking) suspect.silentCount = silentProbes - 1;
+          const isAsking = suspectOf(target).asking;
+          if (silentElsewhere && !isAsking) update(target, { silentCount: silentProbes - 1 });
           ask(target);
         });
     },
     noteAnswer: (target) => {
-      const suspect = suspectOf(target);
-      suspect.silentCount = 0;
-      suspect.answeredAtMs = clock.monotonicMs();
-      setLost(target, suspect, false, 'answered');
+      noteAnswer(target);
+      setLost(target, false, 'answered');
     },
     isLost: (target) => suspects.get(fleet.runKeyOf(target))?.lost ?? false,
     tick: (listed) => {
--- a/packages/formation/src/testing/createFakeFabric.ts
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -71,6 +71,7 @@
 const inMemoryJoinMs = 200;
 const formMs = 300;
 const closeMs = 50;
+const stepMs = 10;
 const defaultListLagMs = 50;
 const defaultLapseMs = 3_600;
 
@@ -87,8 +88,9 @@
 
   const modelOf = (name: string) => engine.models.find((model) => model.name === name)!;
 
-  const setState = (target: FakeTarget, state: fleet.MembershipState) => {
-    if (target.membership) target.membership = { ...target.membership, state };
+  const setState = (id: string, state: fleet.MembershipState) => {
+    const target = targets.get(id);
+    if (target?.membership) target.membership = { ...target.membership, state };
   };
 
   const headOf = ({ members }: FakeTarget) => targets.get(members[0] ?? '');
@@ -131,39 +133,35 @@
       .flatMap(({ work, staging }) => [work, staging])
       .filter((work) => work?.isLoad).length;
 
-  const finish = (target: FakeTarget, work: Work) => {
+  const finish = (id: string, work: Work) => {
+    const target = targets.get(id)!;
     const modelName = work.modelName!;
     if (work.kind === 'open') {
-      setState(target, 'open');
+      setState(id, 'open');
       return;
     }
     if (work.isLoad) target.staged = [modelName];
     if (work.kind === 'stage') return;
     target.loaded = [modelName];
-    setState(target, 'ready');
+    setState(id, 'ready');
   };
 
-  const workOn = (
-    target: FakeTarget,
-    key: 'work' | 'staging',
-    stepMs: number,
-    slowdown: number,
-  ) => {
+  const workOn = (id: string, key: 'work' | 'staging', slowdown: number) => {
+    const target = targets.get(id)!;
     const work = target[key];
     if (work === undefined) return;
     work.leftMs -= work.isLoad ? stepMs / slowdown : stepMs;
     if (work.leftMs > 0) return;
     target[key] = undefined;
-    finish(target, work);
+    finish(id, work);
   };
 
-  const stepMs = 10;
   const step = () => {
     const slowdown = Math.max(1, loadCount() / engine.concurrentLoads);
-    targets.forEach((target) => {
-      if (!target.alive) return;
-      workOn(target, 'work', stepMs, slowdown);
-      workOn(target, 'staging', stepMs, slowdown);
+    targets.forEach(({ alive }, id) => {
+      if (!alive) return;
+      workOn(id, 'work', slowdown);
+      workOn(id, 'staging', slowdown);
     });
     nowMs += stepMs;
     shown.push({ atMs: nowMs, list: snapshot() });
@@ -251,7 +249,7 @@
       if (target === undefined) return 'unanswered';
       if (target.membership?.groupName !== groupName) return 'conflict';
       target.work = undefined;
-      setState(target, 'closing');
+      setState(id, 'closing');
       target.work = { kind: 'join', modelName: target.loaded[0], leftMs: closeMs, isLoad: false };
       return 'accepted';
     },
--- a/packages/relay/src/answerHeadersOf.ts
+++ b/packages/relay/src/answerHeadersOf.ts
@@ -5,7 +5,7 @@
 export const answerHeadersOf = (
   headers: targetClient.TargetAnswer['headers'],
 ): Readonly<Record<string, string | string[]>> => {
-  const connection = headers['connection'];
+  const { connection } = headers;
   const named = connection === undefined ? undefined : String(connection);
   return Object.fromEntries(
     Object.entries(headers).flatMap(([name, value]) => {
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -3,22 +3,11 @@
 import type { Candidate } from './chooseTarget';
 import { createEventSplitter, type StreamEvent } from './createEventSplitter';
 import { judgeSilence } from './judgeSilence';
+import type { StreamProgress } from './createStreamProgress';
 import type { RelayParts } from './RelayParts';
 import type { RequestContext } from './RequestContext';
 import { sendToTarget, type MatchedAnswer, type SendFailure } from './sendToTarget';
 
-/** What the caller has of a stream so far. */
-export interface StreamProgress {
-  /** The last whole event passed on. */
-  lastEventId: number | undefined;
-  lastEventAtMs: number | undefined;
-  /** How many events this response has. */
-  eventCount: number;
-  firstEventAtMs: number | undefined;
-  /** The longest time between two events of this response. */
-  maxGapMs: number;
-}
-
 /** How one run of a stream ended. */
 export type StreamResult =
   | { readonly kind: 'complete'; readonly statusCode: number }
@@ -58,33 +47,29 @@
       resolve(fault);
     };
 
-    const noteTimes = (nowMs: number) => {
-      const { lastEventAtMs } = progress;
-      if (lastEventAtMs === undefined) {
-        progress.firstEventAtMs = nowMs;
-        metrics.firstEventMs.record(nowMs - context.arrivedAtMs);
-      } else {
-        progress.maxGapMs = Math.max(progress.maxGapMs, nowMs - lastEventAtMs);
+    const noteEvent = (id: number | undefined, nowMs: number) => {
+      const { lastEventAtMs } = progress.read();
+      if (lastEventAtMs === undefined) metrics.firstEventMs.record(nowMs - context.arrivedAtMs);
+      else {
         metrics.gapMs.record(nowMs - lastEventAtMs);
         if (!isFirstOfRun) board.onGap(candidate.key, nowMs - lastEventAtMs);
       }
       isFirstOfRun = false;
+      progress.onEvent(id, nowMs);
     };
 
     const passOn = (events: readonly StreamEvent[]): string | undefined => {
       const nowMs = clock.monotonicMs();
       for (const event of events) {
-        if (!isNext(event, progress.lastEventId)) {
-          return `event ${event.id} came after event ${progress.lastEventId}`;
+        const { lastEventId } = progress.read();
+        if (!isNext(event, lastEventId)) {
+          return `event ${event.id} came after event ${lastEventId}`;
         }
         if (!response.headersSent) {
           response.writeHead(answer.statusCode, answerHeadersOf(answer.headers));
         }
         if (!response.write(event.bytes)) answer.body.pause();
-        noteTimes(nowMs);
-        progress.lastEventId = event.id ?? progress.lastEventId;
-        progress.lastEventAtMs = nowMs;
-        progress.eventCount += 1;
+        noteEvent(event.id, nowMs);
       }
       return undefined;
     };
@@ -121,8 +106,10 @@
   const sentAtMs = parts.clock.monotonicMs();
   let askedAtMs = -Infinity;
 
-  const lastEventAtMs = () =>
-    progress.lastEventAtMs === undefined ? undefined : Math.max(progress.lastEventAtMs, sentAtMs);
+  const lastEventAtMs = () => {
+    const { lastEventAtMs: atMs } = progress.read();
+    return atMs === undefined ? undefined : Math.max(atMs, sentAtMs);
+  };
 
   const move = (reason: string) => {
     if (abort.signal.aborted || !attempt.mayMove()) return;
@@ -131,9 +118,9 @@
   };
 
   const askMembers = async (groupKey: string) => {
-    const eventCount = progress.eventCount;
+    const { eventCount } = progress.read();
     const isLost = await parts.suspicions.confirmLoss(groupKey);
-    if (isLost && progress.eventCount === eventCount) move('a member is silent');
+    if (isLost && progress.read().eventCount === eventCount) move('a member is silent');
   };
 
   return parts.silence.add((nowMs) => {
@@ -146,7 +133,7 @@
       headSilentSinceMs: evidence.silentSinceMs ?? sentAtMs,
       expectedGapMs: evidence.gapMs ?? candidate.expectedMs,
       targetMs:
-        progress.lastEventAtMs === undefined
+        progress.read().eventCount === 0
           ? route.latencyTargetMs
           : (route.gapTargetMs ?? route.latencyTargetMs),
     });
@@ -189,10 +176,12 @@
     return { kind: 'failed', failure: { ...failure, message }, wasSilent };
   };
 
+  const { eventCount, lastEventId } = progress.read();
+
   try {
     const sent = await sendToTarget(parts, context, {
       candidate,
-      resumeAfterEventId: progress.eventCount > 0 ? progress.lastEventId : undefined,
+      resumeAfterEventId: eventCount > 0 ? lastEventId : undefined,
       signal,
     });
     if (sent.kind === 'failed') return fail(sent.failure);
--- a/packages/relay/src/createFront.ts
+++ b/packages/relay/src/createFront.ts
@@ -40,6 +40,9 @@
   let draining = false;
   let seenCallers = false;
 
+  /** Keeps idle connections for as long as the plan in force says; set with the server. */
+  let followIdleLimit = () => {};
+
   const app = new tinyhttp.App({
     settings: { xPoweredBy: false },
     // Requests that are passed on use none of the extensions.
@@ -51,8 +54,7 @@
         openRequestCount -= 1;
       });
       if (draining) response.setHeader('connection', 'close');
-      server.keepAliveTimeout =
-        (plan.current()?.limits.idleTimeoutMs ?? defaultIdleTimeoutMs) + idleMarginMs;
+      followIdleLimit();
       void serveRequest(parts, request, response);
     },
     onError: (cause, _request, response) => {
@@ -65,6 +67,11 @@
     app.handler.bind(app) as unknown as http.RequestListener,
   );
 
+  followIdleLimit = () => {
+    const { idleTimeoutMs = defaultIdleTimeoutMs } = plan.current()?.limits ?? {};
+    server.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
+  };
+
   const drain = () => {
     if (draining) return;
     draining = true;
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -71,7 +71,7 @@
   const sent = await client.send({
     url: `http://${candidate.address}`,
     path: request.url,
-    method: request.method as 'GET',
+    method: request.method,
     headers: parts.targetWire.requestHeaders(request, {
       targetId: candidate.targetId,
       customerName: context.customerName,
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,6 +1,7 @@
 import type * as routing from '@comfreydrum/routing';
-import { attemptStream, type StreamProgress, type StreamResult } from './attemptStream';
+import { attemptStream, type StreamResult } from './attemptStream';
 import { chooseTarget, loadOf, type Candidate } from './chooseTarget';
+import { createStreamProgress } from './createStreamProgress';
 import { refuseKey } from './refuseKey';
 import { refuseNotRun, reportFailure, type Refusal } from './Refusal';
 import type { RelayParts } from './RelayParts';
@@ -33,13 +34,7 @@
 ): Promise<ServeResult> => {
   const { clock, board, log, retries } = parts;
   const { route, request, service, response } = context;
-  const progress: StreamProgress = {
-    lastEventId: request.lastEventId,
-    lastEventAtMs: undefined,
-    eventCount: 0,
-    firstEventAtMs: undefined,
-    maxGapMs: 0,
-  };
+  const progress = createStreamProgress(request.lastEventId);
   const tried = new Set<string>();
   let runCount = 0;
   let rejectionCount = 0;
@@ -99,8 +94,8 @@
         targetId: candidate.targetId,
         group: candidate.groupKey,
         ran: failure.ran,
-        events: progress.eventCount,
-        lastEventId: progress.lastEventId,
+        events: progress.read().eventCount,
+        lastEventId: progress.read().lastEventId,
         afterMs: Math.round(nowMs - sentAtMs),
       },
       message,
@@ -138,7 +133,7 @@
         targetId: candidate.targetId,
         group: candidate.groupKey,
         inFlight: candidate.evidence.inFlight,
-        resumeAfterEventId: progress.lastEventId,
+        resumeAfterEventId: progress.read().lastEventId,
       },
       'request sent to group',
     );
@@ -148,15 +143,16 @@
     if (result.kind === 'complete') {
       if (!response.headersSent) response.writeHead(result.statusCode);
       response.end();
+      const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
       return {
         kind: 'answered',
         statusCode: result.statusCode,
         timing: {
           targetId: candidate.targetId,
           triedCount: tried.size,
-          events: progress.eventCount,
-          firstEventMs: Math.round((progress.firstEventAtMs ?? nowMs) - context.arrivedAtMs),
-          maxGapMs: Math.round(progress.maxGapMs),
+          events: eventCount,
+          firstEventMs: Math.round((firstEventAtMs ?? nowMs) - context.arrivedAtMs),
+          maxGapMs: Math.round(maxGapMs),
         },
       };
     }
--- a/packages/telemetry/src/createLog.ts
+++ b/packages/telemetry/src/createLog.ts
@@ -32,6 +32,12 @@
 /** Creates the log of a process, written to standard output as JSON lines. */
 export const createLog = (options: LogOptions): Log => pino.pino(optionsOf(options));
 
+/** Changes the level of a log while it is used. */
+export const setLogLevel = (log: Log, level: string): void => {
+  // eslint-disable-next-line no-param-reassign -- pino has no other way to change a level
+  log.level = level;
+};
+
 /** Creates a log to standard output that buffers lines and leaves some out when they are not read. */
 export const createBufferedLog = (options: LogOptions): BufferedLog => {
   const destination = pino.destination({
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,6 +1,7 @@
 export {
   createBufferedLog,
   createLog,
+  setLogLevel,
   type BufferedLog,
   type Log,
   type LogOptions,
