Make a head that may be opening leave before its members are used, and replace a holder that the store turns away

A head that may have been ordered to open, by this controller or an earlier one, now leaves first. Two tests of planFormation were red before, with orders carried out late.

Early lists named one domain of a zone before the other and flipped the models.

--- /dev/null
+++ b/packages/formation/src/assignModels.test.ts
@@ -0,0 +1,60 @@
+import type * as fleet from '@comfreydrum/fleet';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { assignModels, type FabricDomain } from './assignModels';
+
+const test = uvu.suite('models of fabric domains');
+
+const models = [
+  { name: 'large', groupSize: 4, paceFactor: 1, demandShare: 0.57 },
+  { name: 'small', groupSize: 3, paceFactor: 0.6, demandShare: 0.43 },
+].map((model) => ({ ...model, loadMs: 16_000, stagedJoinMs: 1_600 }));
+
+const domain = (name: string, targetCount: number, held: readonly string[] = []): FabricDomain => ({
+  name,
+  failureDomain: name.slice(0, 1),
+  targets: Array.from(
+    { length: targetCount },
+    (_, index) =>
+      ({
+        id: `${name}-${index}`,
+        stagedModels: held[index] === undefined ? [] : [held[index]],
+        loadedModels: [],
+      }) as unknown as fleet.Target,
+  ),
+});
+
+test('gives each failure domain every model', () => {
+  const names = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'];
+  const assigned = assignModels(
+    names.map((name) => domain(name, 9)),
+    models,
+  );
+  ['a', 'b', 'c'].forEach((zone) =>
+    assert.equal([assigned.get(`${zone}1`), assigned.get(`${zone}2`)].sort(), ['large', 'small']),
+  );
+});
+
+test('decides alike while targets still register', () => {
+  const whole = assignModels([domain('a1', 9), domain('a2', 9)], models);
+  const partial = assignModels([domain('a1', 9), domain('a2', 2)], models);
+  assert.equal([...whole], [...partial]);
+});
+
+test('changes nothing when a domain appears before another one', () => {
+  const first = assignModels([domain('a2', 4)], models);
+  const both = assignModels([domain('a1', 4), domain('a2', 4)], models, first);
+  assert.is(both.get('a2'), first.get('a2'));
+  assert.is.not(both.get('a1'), first.get('a2'));
+});
+
+test('keeps the model that most targets of a domain hold', () => {
+  const assigned = assignModels(
+    [domain('a1', 9, ['small', 'small', 'large']), domain('a2', 9)],
+    models,
+  );
+  assert.is(assigned.get('a1'), 'small');
+  assert.is(assigned.get('a2'), 'large');
+});
+
+test.run();
--- a/packages/formation/src/assignModels.ts
+++ b/packages/formation/src/assignModels.ts
@@ -20,9 +20,9 @@
     ...loadedModels,
   ]);
 
-/** What one domain adds to the work that can be done for a model. */
-const capacityOf = (domain: FabricDomain, model: fleet.ServedModel): number =>
-  Math.floor(domain.targets.length / model.groupSize) / model.paceFactor;
+/** What one domain of the usual size adds to the work that can be done for a model. */
+const capacityOf = (targetCount: number, model: fleet.ServedModel): number =>
+  Math.floor(targetCount / model.groupSize) / model.paceFactor;
 
 const findWarmest = (
   domain: FabricDomain,
@@ -36,18 +36,24 @@
 /**
  * Assigns one model to each fabric domain, so that the survivors of two broken groups of a domain make
  * one whole group without a load. A domain keeps the model that most of its targets hold; the others go
- * to the model with the least capacity for its demand, first within their failure domain.
+ * to the model with the least capacity for its demand, first within their failure domain. What was
+ * assigned before stands until targets hold other weights, as domains appear one after the other.
  */
 export const assignModels = (
   domains: readonly FabricDomain[],
   models: readonly fleet.ServedModel[],
+  before: ReadonlyMap<string, string> = new Map(),
 ): ReadonlyMap<string, string> => {
   const assigned = new Map<string, fleet.ServedModel>();
   domains.forEach((domain) => {
-    const warmest = findWarmest(domain, models);
+    const warmest =
+      findWarmest(domain, models) ?? models.find(({ name }) => name === before.get(domain.name));
     if (warmest !== undefined) assigned.set(domain.name, warmest);
   });
 
+  // Targets register themselves over some seconds; the largest domain shows what the others will be.
+  const usualCount = Math.max(0, ...domains.map(({ targets }) => targets.length));
+
   const capacity = (model: fleet.ServedModel, failureDomain: string | undefined) =>
     domains
       .filter(
@@ -55,7 +61,7 @@
           assigned.get(domain.name) === model &&
           (failureDomain === undefined || domain.failureDomain === failureDomain),
       )
-      .reduce((sum, domain) => sum + capacityOf(domain, model), 0) / model.demandShare;
+      .reduce((sum) => sum + capacityOf(usualCount, model), 0) / model.demandShare;
 
   domains
     .filter(({ name }) => !assigned.has(name))
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -11,7 +11,8 @@
 import { createMemberCheck } from './createMemberCheck';
 import { createOrderBook } from './createOrderBook';
 import type { FormationStep } from './FormationStep';
-import { planFormation } from './planFormation';
+import { planFormation, type FormationView } from './planFormation';
+import { summarizeFleet } from './summarizeFleet';
 import type { OrderOutcome, TargetOrders } from './TargetOrders';
 
 /** A target that a request showed to be failing. */
@@ -45,6 +46,7 @@
 }
 
 const tickMs = 100;
+const summaryIntervalMs = 1_000;
 /** A list this old is not acted upon. */
 const maxListAgeMs = 4_500;
 const suspectMethod = 'formation.suspect';
@@ -56,6 +58,10 @@
 
 const suspicionSchema = zod.object({ targetId: zod.string(), isSilent: zod.boolean() });
 
+/** Tells whether a group was formed under a token. */
+const isOwn = ({ epoch }: fleet.Group, token: number): boolean =>
+  Math.floor(epoch / epochsPerToken) === token;
+
 /** Creates the formation of a daemon. */
 export const createFormation = (options: FormationOptions): Formation => {
   const { clock, targets, plan, orders, lease, calls } = options;
@@ -67,6 +73,8 @@
   );
   const book = createOrderBook(clock);
   const toldAtMs = new Map<string, number>();
+  const summarizedAtMs = new Map<string, number>();
+  const modelsByService = new Map<string, ReadonlyMap<string, string>>();
   let timer: NodeJS.Timeout | undefined;
   let epochCount = 0;
   let scheduled = false;
@@ -96,6 +104,8 @@
   });
   /** Groups that this daemon closed; they are formed anew rather than opened again. */
   const closedKeys = new Set<string>();
+  /** Groups that this daemon ordered to open, whatever became of the order. */
+  const openedKeys = new Set<string>();
 
   const noteOutcome = (
     target: fleet.Target,
@@ -126,6 +136,14 @@
       );
   };
 
+  /** Logs what the targets of a service do, once in a while. */
+  const summarize = (serviceName: string, view: FormationView) => {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - (summarizedAtMs.get(serviceName) ?? -Infinity) < summaryIntervalMs) return;
+    summarizedAtMs.set(serviceName, nowMs);
+    log.info({ step: 'fleet', service: serviceName, ...summarizeFleet(view) }, 'fleet summary');
+  };
+
   const takeStep = (next: FormationStep, token: number) => {
     switch (next.kind) {
       case 'form': {
@@ -146,6 +164,7 @@
         const { group, head } = next;
         const ref = { token, groupName: group.name, epoch: group.epoch };
         book.note(head);
+        openedKeys.add(group.key);
         give(head, 'open', ref, () => orders.open(head, ref));
         return;
       }
@@ -188,18 +207,23 @@
     detector.tick(listed);
     current.services.forEach(({ name, engine }) => {
       if (engine === undefined) return;
-      planFormation({
+      const view: FormationView = {
         engine,
         targets: [...listed.values()].filter(({ serviceName }) => serviceName === name),
         isLost: detector.isLost,
         isHeadGone: headCheck.isGone,
         hasHeadMovedOn: (group) => headCheck.hasMovedOn(group, listed),
-        mayOpen: ({ key, epoch }) =>
-          Math.floor(epoch / epochsPerToken) === state.token && !closedKeys.has(key),
+        mayOpen: (group) => isOwn(group, state.token) && !closedKeys.has(group.key),
+        mayBeOpening: (group) => !isOwn(group, state.token) || openedKeys.has(group.key),
         isOrdered: book.isOrdered,
         stagingModel: book.stagingModel,
+        modelByDomain: modelsByService.get(name) ?? new Map(),
         isBeforeTraffic: options.isBeforeTraffic(),
-      }).forEach((next) => takeStep(next, state.token));
+      };
+      const next = planFormation(view);
+      modelsByService.set(name, next.modelByDomain);
+      next.steps.forEach((nextStep) => takeStep(nextStep, state.token));
+      summarize(name, view);
     });
   };
 
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -13,7 +13,7 @@
   /** Remembers the heads of the listed groups. */
   readonly learn: (groups: readonly fleet.Group[]) => void;
   readonly isGone: (group: fleet.Group) => boolean;
-  /** Tells whether the list shows that the head has left the group, or has started anew. */
+  /** Tells whether the list shows that the head has left the group, has started anew or never joined. */
   readonly hasMovedOn: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
 }
 
@@ -47,6 +47,8 @@
 const recheckMs = 500;
 /** Groups that nobody reports any more are forgotten after this. */
 const forgottenAfterMs = 60_000;
+/** Members of one group show themselves within this time of each other. */
+const headJoinMs = 1_000;
 /** A head of which nothing is known has ended by then: a leaving one, or one that breaks without a member. */
 const unknownHeadWaitMs = 8_000;
 
@@ -81,6 +83,10 @@
   const { clock, log, orders, calls } = options;
   const heads = new Map<string, Head>();
   const unknownSinceMs = new Map<string, number>();
+  /** Groups that appeared while this daemon followed the list, with the time of that. */
+  const appearedAtMs = new Map<string, number>();
+  const known = new Set<string>();
+  let hasLearned = false;
 
   const reach = async (target: fleet.Target): Promise<boolean> => {
     const result = await orders.probe(target, probeTimeoutMs);
@@ -141,9 +147,20 @@
     return nowMs - sinceMs >= unknownHeadWaitMs;
   };
 
+  /** A head is ordered to open only once the list shows it, so one that never joined never opened. */
+  const neverHadHead = (groupKey: string): boolean => {
+    const atMs = appearedAtMs.get(groupKey);
+    return atMs !== undefined && clock.monotonicMs() - atMs >= headJoinMs;
+  };
+
   return {
     learn: (groups) => {
       const nowMs = clock.monotonicMs();
+      groups.forEach(({ key }) => {
+        if (hasLearned && !known.has(key)) appearedAtMs.set(key, nowMs);
+        known.add(key);
+      });
+      hasLearned ||= groups.length > 0;
       groups.forEach(({ key, head }) => {
         if (heads.has(key)) update(key, { seenAtMs: nowMs });
         else if (head !== undefined) {
@@ -162,8 +179,9 @@
     },
     hasMovedOn: ({ key, name, epoch }, listed) => {
       const target = heads.get(key)?.target;
-      const now = target && listed.get(target.id);
-      if (target === undefined || now === undefined) return false;
+      if (target === undefined) return neverHadHead(key);
+      const now = listed.get(target.id);
+      if (now === undefined) return false;
       if (now.startedAtMs !== target.startedAtMs) return true;
       return now.membership?.groupName !== name || now.membership.epoch !== epoch;
     },
--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -37,7 +37,7 @@
   const start = async (address: string): Promise<Lease> => {
     runCount += 1;
     const lease = createLease({
-      client: store,
+      client: store.clientOf(address),
       calls: network.join(address),
       clock: clocks.createSystemClock(),
       log,
@@ -105,6 +105,15 @@
   await stop();
 });
 
+test('passes on when the store turns away its holder alone', async () => {
+  const { leases, store, stop } = await startDaemons(['a', 'b']);
+  await delay(600);
+  store.turnAway('a');
+  assert.ok(await waitUntil(() => mayAct(leases[1]!), 5_000));
+  assert.not(mayAct(leases[0]!));
+  await stop();
+});
+
 test('finds out what became of a write whose answer was lost', async () => {
   const { leases, store, stop } = await startDaemons(['a']);
   store.loseNextAnswer();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -66,9 +66,9 @@
 /** Misses in a row after which a standby takes over: less when the holder's port refuses. */
 const refusedMisses = 2;
 const silentMisses = 4;
-const renewIntervalMs = 1_000;
+const renewIntervalMs = 800;
 /** A holder acts only while the store confirmed its lease so lately. */
-const validityMs = 2_500;
+const validityMs = 1_900;
 /** A daemon that checked in within this time lives. */
 const seenMs = 2_500;
 /** How many daemons are taken to live before a holder has told. */
@@ -115,6 +115,9 @@
 
   const isHolder = () => token !== undefined;
 
+  const isConfirmed = () =>
+    confirmedAt !== undefined && clocks.maxElapsedMs(clock, confirmedAt) < validityMs;
+
   const seenLately = () => {
     const nowMs = clock.monotonicMs();
     [...seen]
@@ -240,7 +243,8 @@
     if (!checked.success) throw new Error('params: expected address and loads');
     seen.set(callerId, { ...checked.data, atMs: clock.monotonicMs() });
     return {
-      holderRunId: isHolder() ? runId : '',
+      // One that the store does not confirm any more has stopped acting, so another may act at once.
+      holderRunId: isHolder() && isConfirmed() ? runId : '',
       daemonCount: countDaemons(),
       loads: sumLoads([loadsOfOthers(callerId), options.ownLoads()]),
     };
@@ -249,9 +253,7 @@
   return {
     state: () => {
       if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
-      const isConfirmed =
-        confirmedAt !== undefined && clocks.maxElapsedMs(clock, confirmedAt) < validityMs;
-      return { kind: 'holder', token, mayAct: isConfirmed && clock.monotonicMs() >= actsFromMs };
+      return { kind: 'holder', token, mayAct: isConfirmed() && clock.monotonicMs() >= actsFromMs };
     },
     resign: stepDown,
     daemonCount: () => (isHolder() ? countDaemons() : daemonCount),
--- a/packages/formation/src/judgeGroup.ts
+++ b/packages/formation/src/judgeGroup.ts
@@ -8,13 +8,14 @@
  * - `serving`: the head is open and every member is there.
  * - `closing`: the head finishes or sheds its work.
  * - `must-close`: the head is open and a member is gone or leaves.
+ * - `must-leave`: the head does not serve, but an order to open may reach it late; it has to leave first.
  * - `orphaned`: the head is out of sight but may still serve, so that its members stay bound.
  * - `abandoned`: no daemon reaches the head; its members are free once they have left.
  * - `dissolved`: the head does not serve, so that the members that are left are free.
  */
 export type GroupVerdict =
   | { readonly kind: 'forming' | 'openable' | 'serving' | 'closing' }
-  | { readonly kind: 'orphaned' | 'abandoned' | 'dissolved' }
+  | { readonly kind: 'must-leave' | 'orphaned' | 'abandoned' | 'dissolved' }
   | { readonly kind: 'must-close'; readonly isMemberGone: boolean };
 
 /** What is known of a group beside what its members report. */
@@ -28,6 +29,8 @@
   readonly isHeadGone: (group: fleet.Group) => boolean;
   /** Whether the group was formed by this controller and not closed since. */
   readonly mayOpen: (group: fleet.Group) => boolean;
+  /** Whether the head of a group may have been ordered to open it. */
+  readonly mayBeOpening: (group: fleet.Group) => boolean;
 }
 
 /** Judges a group from the reports of its members. */
@@ -46,11 +49,11 @@
   if (headState === 'open') {
     return isWhole ? { kind: 'serving' } : { kind: 'must-close', isMemberGone };
   }
-  if (!isWhole || !knowledge.mayOpen(group)) return { kind: 'dissolved' };
-  if (members.some(({ membership }) => membership.state === 'broken')) {
-    return { kind: 'dissolved' };
+  const isUsable =
+    isWhole && members.every(({ membership }) => membership.state !== 'broken');
+  if (!isUsable) {
+    return { kind: knowledge.mayBeOpening(group) ? 'must-leave' : 'dissolved' };
   }
-  return members.every(({ membership }) => membership.state === 'ready')
-    ? { kind: 'openable' }
-    : { kind: 'forming' };
+  if (members.some(({ membership }) => membership.state !== 'ready')) return { kind: 'forming' };
+  return { kind: knowledge.mayOpen(group) ? 'openable' : 'must-leave' };
 };
--- a/packages/formation/src/planFormation.test.ts
+++ b/packages/formation/src/planFormation.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { createFakeFabric, type FakeFabric } from './testing/createFakeFabric';
-import { playFormation } from './testing/playFormation';
+import { playFormation, type PlayedController } from './testing/playFormation';
 
 const test = uvu.suite('formation of groups');
 
@@ -38,6 +38,9 @@
 const targetsPerDomain = 9;
 const zones = ['a', 'b', 'c'] as const;
 
+/** Quicker than a head takes to open. */
+const quickDetectionMs = 100;
+
 const addDomains = (fabric: FakeFabric) =>
   zones.forEach((zone) =>
     [1, 2].forEach((domain) =>
@@ -48,11 +51,11 @@
   );
 
 /** Before traffic, loads take a tenth of their time. */
-const startFleet = () => {
+const startFleet = (detectionMs?: number) => {
   const engine = createEngine(0.1);
   const fabric = createFakeFabric({ engine });
   addDomains(fabric);
-  const controller = playFormation(fabric, engine);
+  const controller = playFormation(fabric, engine, detectionMs);
   controller.play(14_000);
   controller.setTraffic(true);
   return { fabric, controller };
@@ -130,6 +133,52 @@
   assert.equal(fabric.violations, []);
 });
 
+/** Breaks a group whose domain has three spares, and gives the one that is formed next as it is to open. */
+const formNext = (fabric: FakeFabric, controller: PlayedController) => {
+  const [victim] = fabric
+    .listed()
+    .filter(({ membership }) => membership?.groupName.startsWith('small') && membership.rank === 1);
+  const before = new Set(fabric.listed().map(({ membership }) => membership?.groupName));
+  const { fabricDomain, failureDomain } = victim!;
+  ['spare-1', 'spare-2', 'spare-3'].forEach((id) => {
+    fabric.add(id, fabricDomain!, failureDomain);
+    fabric.stage(id, 'small');
+  });
+  controller.play(2_500);
+  fabric.kill(victim!.id);
+  const findMembers = () =>
+    fabric
+      .listed()
+      .filter(({ membership }) => membership !== undefined && !before.has(membership.groupName));
+  while (!findMembers().some(({ membership }) => membership!.state === 'ready')) {
+    controller.play(50);
+  }
+  return { findMember: (rank: number) => findMembers().find((one) => one.membership!.rank === rank)! };
+};
+
+test('uses no member of a group whose head may still carry out an order to open', () => {
+  for (const delayMs of [300, 1_000, 3_000]) {
+    const { fabric, controller } = startFleet(quickDetectionMs);
+    fabric.delayNextOpen(delayMs);
+    const { findMember } = formNext(fabric, controller);
+    controller.play(100);
+    fabric.kill(findMember(1).id);
+    controller.play(6_000);
+    assert.equal(fabric.violations, [], `an order carried out after ${delayMs} ms`);
+  }
+});
+
+test('closes a head that is about to open when a member is lost', () => {
+  for (const afterMs of [50, 100, 150, 200, 250, 300]) {
+    const { fabric, controller } = startFleet(quickDetectionMs);
+    const { findMember } = formNext(fabric, controller);
+    controller.play(afterMs);
+    fabric.kill(findMember(1).id);
+    controller.play(4_000);
+    assert.equal(fabric.violations, [], `a loss ${afterMs} ms before the end`);
+  }
+});
+
 test('keeps more than half of its groups while two targets are lost every three seconds', () => {
   const { fabric, controller } = startFleet();
   const joinedIds = () =>
@@ -155,7 +204,16 @@
 
 test('never breaks a rule, whatever dies, leaves or takes over when', () => {
   const incident = fastCheck.record({
-    kind: fastCheck.constantFrom('kill', 'kill', 'cut', 'leave', 'domain', 'takeOver', 'add'),
+    kind: fastCheck.constantFrom(
+      'kill',
+      'kill',
+      'cut',
+      'leave',
+      'lateOpen',
+      'domain',
+      'takeOver',
+      'add',
+    ),
     pick: fastCheck.nat(1_000),
     afterMs: fastCheck.integer({ min: 50, max: 2_000 }),
   });
@@ -167,6 +225,7 @@
         const id = ids[pick % ids.length]!;
         if (kind === 'kill') fabric.kill(id);
         if (kind === 'cut') fabric.cut(id);
+        if (kind === 'lateOpen') fabric.delayNextOpen(200 + pick * 5);
         if (kind === 'leave') fabric.beginLeaving(id);
         if (kind === 'takeOver') controller.takeOver();
         if (kind === 'add') fabric.add(`added-${index}`, 'a1', 'a');
@@ -179,7 +238,7 @@
       controller.play(4_000);
       assert.equal(fabric.violations, []);
     }),
-    { numRuns: 25, seed: 7 },
+    { numRuns: 40, seed: 7 },
   );
 });
 
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -16,14 +16,24 @@
   readonly isHeadGone: (group: fleet.Group) => boolean;
   /** Whether the group was formed by this controller and not closed since. */
   readonly mayOpen: (group: fleet.Group) => boolean;
+  /** Whether the head of a group may have been ordered to open it. */
+  readonly mayBeOpening: (group: fleet.Group) => boolean;
   /** Whether an order to the target is under way whose effect is not listed yet. */
   readonly isOrdered: (target: fleet.Target) => boolean;
   /** Gives the model whose weights a target is loading onto its host. */
   readonly stagingModel: (target: fleet.Target) => string | undefined;
+  /** The models assigned to fabric domains by the last plan. */
+  readonly modelByDomain: ReadonlyMap<string, string>;
   /** Whether callers have not come yet, so that loads cost little. */
   readonly isBeforeTraffic: boolean;
 }
 
+/** The next steps, and what they rest on. */
+export interface FormationPlan {
+  readonly steps: readonly FormationStep[];
+  readonly modelByDomain: ReadonlyMap<string, string>;
+}
+
 /** How long a target needs to join, as far as it orders targets. */
 type Warmth = 'in-memory' | 'on-host' | 'cold';
 
@@ -84,6 +94,9 @@
         .map((member) => ({ kind: 'leave', group, member, reason: 'no daemon reaches the head' }));
     }
     if (head === undefined || verdict === undefined || view.isOrdered(head)) return [];
+    if (verdict.kind === 'must-leave') {
+      return [{ kind: 'leave', group, member: head, reason: 'the group is not to open any more' }];
+    }
     if (verdict.kind === 'openable') return [{ kind: 'open', group, head }];
     if (verdict.kind !== 'must-close') return [];
     const mode = verdict.isMemberGone ? 'shed-work' : 'finish-work';
@@ -116,7 +129,7 @@
  *
  * Answers the load of fleets that lose and gain targets faster than the weight store loads them.
  */
-export const planFormation = (view: FormationView): readonly FormationStep[] => {
+export const planFormation = (view: FormationView): FormationPlan => {
   const { engine, targets } = view;
   const judged = fleet.groupsOf(targets).map((group) => ({ group, verdict: judge(group, view) }));
   const bound = new Set(
@@ -129,7 +142,7 @@
     (target) => !bound.has(fleet.runKeyOf(target)) && !view.isOrdered(target),
   );
   const domains = collectDomains(usable);
-  const modelByDomain = assignModels(domains, engine.models);
+  const modelByDomain = assignModels(domains, engine.models, view.modelByDomain);
 
   const isLoading = (target: fleet.Target): boolean => {
     if (view.stagingModel(target) !== undefined) return true;
@@ -180,5 +193,5 @@
         reason: `${missingCount} more make a group`,
       }),
     );
-  return steps;
+  return { steps, modelByDomain };
 };
--- /dev/null
+++ b/packages/formation/src/summarizeFleet.ts
@@ -0,0 +1,47 @@
+import * as fleet from '@comfreydrum/fleet';
+import { judgeGroup, type GroupVerdict } from './judgeGroup';
+import type { FormationView } from './planFormation';
+
+/** What the targets of a service do at one moment, for the log. */
+export interface FleetSummary {
+  readonly listed: number;
+  readonly lost: number;
+  readonly leaving: number;
+  /** Groups by model and verdict, as in `draft serving`. */
+  readonly groups: Readonly<Record<string, number>>;
+  /** Targets in no group, by the model whose weights they hold; `none` for empty ones. */
+  readonly idle: Readonly<Record<string, number>>;
+  /** Targets that load weights onto their host. */
+  readonly staging: number;
+}
+
+const count = (names: readonly string[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {};
+  names.forEach((name) => {
+    counts[name] = (counts[name] ?? 0) + 1;
+  });
+  return counts;
+};
+
+/** Summarizes what a plan of formation starts from. */
+export const summarizeFleet = (view: FormationView): FleetSummary => {
+  const { engine, targets } = view;
+  const verdictOf = (group: fleet.Group): GroupVerdict['kind'] | 'unknown' => {
+    const model = engine.models.find(({ name }) => name === group.modelName);
+    if (model === undefined) return 'unknown';
+    return judgeGroup(group, { ...view, groupSize: model.groupSize }).kind;
+  };
+  const groups = fleet.groupsOf(targets);
+  return {
+    listed: targets.length,
+    lost: targets.filter(view.isLost).length,
+    leaving: targets.filter(({ state }) => state === 'leaving').length,
+    groups: count(groups.map((group) => `${group.modelName} ${verdictOf(group)}`)),
+    idle: count(
+      targets
+        .filter((target) => target.membership === undefined && !view.isLost(target))
+        .map(({ stagedModels }) => stagedModels[0] ?? 'none'),
+    ),
+    staging: targets.filter((target) => view.stagingModel(target) !== undefined).length,
+  };
+};
--- a/packages/formation/src/testing/createFakeFabric.ts
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -58,6 +58,8 @@
     },
   ) => OrderOutcome;
   readonly open: (id: string, groupName: string) => OrderOutcome;
+  /** Leaves the next order to open unanswered, and carries it out this much later if it still fits. */
+  readonly delayNextOpen: (delayMs: number) => void;
   readonly close: (id: string, groupName: string, mode: CloseMode) => OrderOutcome;
   readonly leave: (id: string, groupName: string) => OrderOutcome;
   readonly stage: (id: string, modelName: string) => OrderOutcome;
@@ -84,6 +86,8 @@
   const targets = new Map<string, FakeTarget>();
   const violations: Violation[] = [];
   const shown: { readonly atMs: number; readonly list: readonly fleet.Target[] }[] = [];
+  const late: { readonly atMs: number; readonly id: string; readonly groupName: string }[] = [];
+  let nextOpenDelayMs: number | undefined;
   let nowMs = 0;
 
   const modelOf = (name: string) => engine.models.find((model) => model.name === name)!;
@@ -95,13 +99,14 @@
 
   const headOf = ({ members }: FakeTarget) => targets.get(members[0] ?? '');
 
-  /** Tells whether the head of a target's group still serves it. */
+  /** Tells whether the head of a target's group serves, closes, or has begun to open. */
   const isBound = (target: FakeTarget): boolean => {
     const head = headOf(target);
     const own = target.membership;
     if (own === undefined || head === undefined || !head.alive) return false;
     if (head.membership?.groupName !== own.groupName) return false;
-    return head.membership.state === 'open' || head.membership.state === 'closing';
+    const isOpening = head.work?.kind === 'open';
+    return isOpening || ['open', 'closing'].includes(head.membership.state);
   };
 
   const isWhole = (head: FakeTarget): boolean =>
@@ -156,7 +161,19 @@
     finish(id, work);
   };
 
+  const openLate = () => {
+    while (late[0] !== undefined && late[0].atMs <= nowMs) {
+      const { id, groupName } = late.shift()!;
+      const target = targets.get(id);
+      const { membership } = target ?? {};
+      if (target?.alive && membership?.groupName === groupName && membership.state === 'ready') {
+        target.work = { kind: 'open', leftMs: formMs, isLoad: false };
+      }
+    }
+  };
+
   const step = () => {
+    openLate();
     const slowdown = Math.max(1, loadCount() / engine.concurrentLoads);
     targets.forEach(({ alive }, id) => {
       if (!alive) return;
@@ -240,10 +257,18 @@
       if (target === undefined) return 'unanswered';
       const { membership } = target;
       if (membership?.groupName !== groupName || membership.state !== 'ready') return 'conflict';
+      if (nextOpenDelayMs !== undefined) {
+        late.push({ atMs: nowMs + nextOpenDelayMs, id, groupName });
+        nextOpenDelayMs = undefined;
+        return 'unanswered';
+      }
       if (!isWhole(target)) violations.push('partial-group');
       target.work = { kind: 'open', leftMs: formMs, isLoad: false };
       return 'accepted';
     },
+    delayNextOpen: (delayMs) => {
+      nextOpenDelayMs = delayMs;
+    },
     close: (id, groupName) => {
       const target = find(id);
       if (target === undefined) return 'unanswered';
--- a/packages/formation/src/testing/createFakeNetwork.ts
+++ b/packages/formation/src/testing/createFakeNetwork.ts
@@ -47,7 +47,10 @@
 };
 
 /** A store of the product's own objects, in memory. */
-export interface FakeStore extends objectStore.PlatformClient {
+export interface FakeStore {
+  readonly clientOf: (address: string) => objectStore.PlatformClient;
+  /** Refuses the calls of one daemon and serves the others. */
+  readonly turnAway: (address: string) => void;
   readonly setDown: (isDown: boolean) => void;
   /** Carries out the next write but loses its answer. */
   readonly loseNextAnswer: () => void;
@@ -59,25 +62,20 @@
   let version = 0;
   let down = false;
   let losesAnswer = false;
+  const turnedAway = new Set<string>();
 
   const fail = (kind: objectStore.PlatformFailure['kind']) =>
     errors.err<objectStore.PlatformFailure>({ kind, step: 'call', peer: 'store', message: kind });
   const pathOf = ({ kind, name }: objectStore.ObjectKey) => `${kind}/${name}`;
 
-  return {
-    setDown: (isDown) => {
-      down = isDown;
-    },
-    loseNextAnswer: () => {
-      losesAnswer = true;
-    },
+  const clientOf = (address: string): objectStore.PlatformClient => ({
     get: async (key) => {
-      if (down) return fail('unreachable');
+      if (down || turnedAway.has(address)) return fail('unreachable');
       const object = objects.get(pathOf(key));
       return object === undefined ? fail('not-found') : errors.ok(object);
     },
     put: async (key, value, condition) => {
-      if (down) return fail('unreachable');
+      if (down || turnedAway.has(address)) return fail('unreachable');
       const before = objects.get(pathOf(key));
       const holds =
         condition === 'absent' ? before === undefined : before?.version === condition.version;
@@ -92,5 +90,18 @@
     list: async () => fail('ambiguous'),
     watch: async () => fail('ambiguous'),
     instances: async () => fail('ambiguous'),
+  });
+
+  return {
+    clientOf,
+    turnAway: (address) => {
+      turnedAway.add(address);
+    },
+    setDown: (isDown) => {
+      down = isDown;
+    },
+    loseNextAnswer: () => {
+      losesAnswer = true;
+    },
   };
 };
--- a/packages/formation/src/testing/playFormation.ts
+++ b/packages/formation/src/testing/playFormation.ts
@@ -17,20 +17,24 @@
 
 const stepMs = 50;
 /** How long probes take to find that a target is dead. */
-const detectionMs = 400;
+const usualDetectionMs = 400;
 
 /** Plays the planner against a fabric. */
 export const playFormation = (
   fabric: FakeFabric,
   engine: fleet.EngineProfile,
+  detectionMs = usualDetectionMs,
 ): PlayedController => {
   const clock = clocks.createManualClock();
   const deadSinceMs = new Map<string, number>();
+  const headIds = new Map<string, string>();
   let book = createOrderBook(clock);
   let token = 1;
   let epochCount = 0;
   let closedKeys = new Set<string>();
+  let openedKeys = new Set<string>();
   let hasTraffic = false;
+  let modelByDomain: ReadonlyMap<string, string> = new Map();
 
   const isLost = ({ id }: Pick<fleet.Target, 'id'>): boolean => {
     if (fabric.isReachable(id)) return false;
@@ -55,6 +59,7 @@
       }
       case 'open':
         book.note(step.head);
+        openedKeys.add(step.group.key);
         if (fabric.open(step.head.id, step.group.name) !== 'accepted') book.fail(step.head);
         return;
       case 'close':
@@ -76,20 +81,32 @@
     const targets = fabric.listed();
     const listed = new Map(targets.map((target) => [target.id, target]));
     book.settle(listed);
-    planFormation({
+    fleet.groupsOf(targets).forEach(({ key, head }) => {
+      if (head !== undefined) headIds.set(key, head.id);
+    });
+    const plan = planFormation({
       engine,
       targets,
       isLost,
-      isHeadGone: ({ members }) => {
-        const [headId] = members[0]?.membership.rank === 0 ? [members[0].id] : [undefined];
+      isHeadGone: ({ key }) => {
+        const headId = headIds.get(key);
         return headId === undefined || isLost({ id: headId });
       },
-      hasHeadMovedOn: () => false,
+      hasHeadMovedOn: ({ key, members }) => {
+        const headId = headIds.get(key);
+        const head = headId === undefined ? undefined : listed.get(headId);
+        return head !== undefined && head.membership?.groupName !== members[0]!.membership.groupName;
+      },
+      mayBeOpening: ({ key, epoch }) =>
+        Math.floor(epoch / 1_000) !== token || openedKeys.has(key),
       mayOpen: ({ key, epoch }) => Math.floor(epoch / 1_000) === token && !closedKeys.has(key),
       isOrdered: book.isOrdered,
       stagingModel: book.stagingModel,
+      modelByDomain,
       isBeforeTraffic: !hasTraffic,
-    }).forEach(take);
+    });
+    modelByDomain = plan.modelByDomain;
+    plan.steps.forEach(take);
   };
 
   return {
@@ -103,6 +120,8 @@
     takeOver: () => {
       book = createOrderBook(clock);
       closedKeys = new Set();
+      openedKeys = new Set();
+      modelByDomain = new Map();
       token += 1;
     },
     setTraffic: (next) => {
