Pass on what one daemon reads at the store by check-ins

The holder of the lease now answers check-ins with what changed and with the age of its plan; a daemon that hears nothing follows the store as before.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -23,6 +23,13 @@
 const noticeMs = 2_600;
 /** Kept free at the end of the grace period. */
 const shutdownMarginMs = 700;
+/** The holder's proof reaches the others by its age later, so it is renewed more often. */
+const holderPlanWaitMs = 1_000;
+const planWaitMs = 1_500;
+/** Told proof is younger than this while the holder reaches the store. */
+const ownPlanAgeMs = 3_000;
+/** How long a daemon that starts waits for the holder before it asks the store itself. */
+const startWaitMs = 900;
 const msPerSecond = 1_000;
 const leaseKey = { kind: 'comfreydrum-leases', name: 'formation' } as const;
 
@@ -124,9 +131,21 @@
       hybridClock: clock.createHybridClock(systemClock),
     }),
   );
+  const startedAtMs = systemClock.monotonicMs();
+  const news = fleet.createFleetNews({
+    clock: systemClock,
+    plan: () => container.resolve(relayTokens.plan),
+    targets: () => container.resolve(relayTokens.targets),
+  });
+  const isHolder = () => container.resolve(relayTokens.lease).state().kind === 'holder';
+  /** A daemon that starts may be told everything by the holder before it asks the store. */
+  const hasWaited = () => systemClock.monotonicMs() - startedAtMs >= startWaitMs;
   register(relayTokens.plan, (owner) =>
     fleet.createPlanKeeper({
       ...sharedParts(owner),
+      follows: () =>
+        isHolder() || (hasWaited() && owner.resolve(relayTokens.plan).ageMs() > ownPlanAgeMs),
+      watchWaitMs: () => (isHolder() ? holderPlanWaitMs : planWaitMs),
       source: owner.resolve(relayTokens.platform).planSource,
     }),
   );
@@ -134,10 +153,9 @@
     fleet.createTargetList({
       ...sharedParts(owner),
       source: owner.resolve(relayTokens.platform).targetSource,
-      spacingMs: () =>
-        owner.resolve(relayTokens.lease).state().kind === 'holder'
-          ? holderListSpacingMs
-          : targetListSpacingMs,
+      spacingMs: () => (isHolder() ? holderListSpacingMs : targetListSpacingMs),
+      listId: runId,
+      follows: () => isHolder() || (hasWaited() && !news.isFresh()),
     }),
   );
   register(relayTokens.lease, (owner) =>
@@ -147,6 +165,7 @@
       key: leaseKey,
       runId,
       address: daemonSettings.peers.listen,
+      news,
       ownLoads: () => owner.resolve(relayTokens.relay).ownLoads(),
     }),
   );
--- a/packages/fleet/src/createPlanKeeper.ts
+++ b/packages/fleet/src/createPlanKeeper.ts
@@ -11,12 +11,22 @@
   readonly decode: (value: unknown) => errors.Result<TrafficPlan>;
 }
 
+/** The revision that a daemon holds, and for how long at most it may be out of date. */
+export interface SharedPlan {
+  readonly revision: number;
+  readonly ageMs: number;
+}
+
 /** Holds the traffic plan in force. */
 export interface PlanKeeper {
   /** Gives the latest plan seen; undefined before the first. */
   readonly current: () => TrafficPlan | undefined;
   /** Gives for how long at most the plan may be out of date; infinite before the first proof. */
   readonly ageMs: () => number;
+  /** Gives what proves to another daemon that its plan is in force; undefined without a plan. */
+  readonly share: () => SharedPlan | undefined;
+  /** Takes the proof of another daemon that was asked at `askedAt`; reads the plan when it has a newer one. */
+  readonly takeShared: (shared: SharedPlan, askedAt: clocks.Moment) => void;
   /** Asks the store when the plan is older than `maxAgeMs`; false when that gave no proof. */
   readonly ensureFresh: (maxAgeMs: number) => Promise<boolean>;
   readonly part: lifecycle.Part;
@@ -30,10 +40,13 @@
   readonly source: PlanSource;
   readonly random: () => number;
   readonly onChange?: (plan: TrafficPlan) => void;
+  /** Whether this daemon follows the plan at the store itself; always when left out. */
+  readonly follows?: () => boolean;
+  /** How long a watch waits; the proof is at most twice this old, and the time of a call. */
+  readonly watchWaitMs?: () => number;
 }
 
-/** Each watch renews the proof, so that it is at most twice this old plus the time of a call. */
-const watchWaitMs = 1_500;
+const defaultWatchWaitMs = 1_500;
 const maxRetryMs = 400;
 
 /**
@@ -91,7 +104,8 @@
     client,
     clock,
     kind: source.key.kind,
-    waitMs: watchWaitMs,
+    waitMs: options.watchWaitMs ?? (() => defaultWatchWaitMs),
+    follows: () => options.follows?.() ?? true,
     spacingMs: () => 0,
     maxRetryMs,
     random: options.random,
@@ -113,15 +127,32 @@
     return isReadable;
   };
 
+  const askOnce = (): Promise<boolean> => {
+    asking ??= ask().finally(() => {
+      asking = undefined;
+    });
+    return asking;
+  };
+
   return {
     current: () => plan,
     ageMs,
+    share: () =>
+      plan === undefined || !isReadable ? undefined : { revision: plan.revision, ageMs: ageMs() },
+    takeShared: (shared, askedAt) => {
+      if (plan === undefined || shared.revision > plan.revision) {
+        void askOnce();
+        return;
+      }
+      if (shared.revision < plan.revision) return;
+      prove({
+        monotonicMs: askedAt.monotonicMs - shared.ageMs,
+        wallMs: askedAt.wallMs - shared.ageMs,
+      });
+    },
     ensureFresh: async (maxAgeMs) => {
       if (ageMs() <= maxAgeMs) return true;
-      asking ??= ask().finally(() => {
-        asking = undefined;
-      });
-      await asking;
+      await askOnce();
       return ageMs() <= maxAgeMs;
     },
     part: {
--- a/packages/fleet/src/createTargetList.test.ts
+++ b/packages/fleet/src/createTargetList.test.ts
@@ -38,6 +38,7 @@
     source: { kind: 'targets', decode },
     random: () => 0,
     spacingMs: () => 0,
+    listId: 'test',
   });
   await list.part.start?.();
   await settle();
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -11,6 +11,27 @@
   readonly decode: (id: string, value: unknown) => errors.Result<Target>;
 }
 
+/** A state of the list of one run of a daemon. */
+export interface ListCursor {
+  readonly listId: string;
+  readonly changeCount: number;
+}
+
+/** An entry as one daemon tells it to another. */
+export interface SharedTarget {
+  readonly version: number;
+  readonly target: Target;
+}
+
+/** What changed in a list since a cursor; everything when `isWhole`. */
+export interface SharedTargets {
+  readonly cursor: ListCursor;
+  readonly ageMs: number;
+  readonly isWhole: boolean;
+  readonly changed: readonly SharedTarget[];
+  readonly removedIds: readonly string[];
+}
+
 /** Holds the targets that are registered in the store. */
 export interface TargetList {
   readonly all: () => ReadonlyMap<string, Target>;
@@ -21,6 +42,12 @@
   /** Tells whether the list was read at least once. */
   readonly isKnown: () => boolean;
   readonly onChange: (listener: () => void) => void;
+  /** Gives another daemon what changed since the state that it has, or all. */
+  readonly share: (since: ListCursor | undefined) => SharedTargets | undefined;
+  /** Tells up to which state of which daemon this list has taken over. */
+  readonly cursor: () => ListCursor | undefined;
+  /** Takes over what another daemon, asked at `askedAt`, has shared. */
+  readonly takeShared: (shared: SharedTargets, askedAt: clocks.Moment) => void;
   readonly part: lifecycle.Part;
 }
 
@@ -33,9 +60,15 @@
   readonly random: () => number;
   /** The least time between two calls; asked before each. */
   readonly spacingMs: () => number;
+  /** Names this run of the daemon, for cursors. */
+  readonly listId: string;
+  /** Whether this daemon follows the list at the store itself; always when left out. */
+  readonly follows?: () => boolean;
 }
 
 const watchWaitMs = 2_000;
+/** Removals that are told to daemons which lag behind; those that lag more get the whole list. */
+const maxRemovedKept = 512;
 const maxRetryMs = 600;
 
 /** How long entries that are missing when the store returns may take to be written again. */
@@ -53,6 +86,10 @@
   const unreadable = new Set<string>();
   /** Entries that lapsed around an outage of the store, with the time until which they are kept. */
   const lapsing = new Map<string, NodeJS.Timeout>();
+  /** By entry, the count of changes at which it last changed or went. */
+  const changedAtCount = new Map<string, number>();
+  const removedAtCount = new Map<string, number>();
+  let cursor: ListCursor | undefined;
   let version = 0;
   let known = false;
   let following: Promise<void> = Promise.resolve();
@@ -60,6 +97,15 @@
   let backAtMs = -Infinity;
   let provedAt: clocks.Moment | undefined;
 
+  const noteEntry = (id: string) => {
+    const isThere = targets.has(id);
+    changedAtCount.delete(id);
+    removedAtCount.delete(id);
+    (isThere ? changedAtCount : removedAtCount).set(id, version + 1);
+    const [oldest] = removedAtCount.keys();
+    if (removedAtCount.size > maxRemovedKept) removedAtCount.delete(oldest!);
+  };
+
   const changed = () => {
     version += 1;
     listeners.forEach((listener) => listener());
@@ -70,7 +116,9 @@
     lapsing.delete(id);
     versions.delete(id);
     unreadable.delete(id);
-    return targets.delete(id);
+    const wasThere = targets.delete(id);
+    noteEntry(id);
+    return wasThere;
   };
 
   /** Removes an entry, or keeps it for a while where it may have lapsed only because the store was away. */
@@ -98,16 +146,25 @@
         log.warn({ step, peer, targetId: name, version: entryVersion }, message);
       }
       unreadable.add(name);
-      return targets.delete(name);
+      const wasThere = targets.delete(name);
+      if (wasThere) noteEntry(name);
+      return wasThere;
     }
     clearTimeout(lapsing.get(name));
     lapsing.delete(name);
     unreadable.delete(name);
     versions.set(name, entryVersion);
     targets.set(name, decoded.value);
+    noteEntry(name);
     return true;
   };
 
+  /** Changes before this count may include removals that are forgotten. */
+  const oldestShared = () => {
+    const [oldest] = removedAtCount.values();
+    return removedAtCount.size < maxRemovedKept ? 0 : (oldest ?? 0);
+  };
+
   const noteAnswer = () => {
     const nowMs = clock.monotonicMs();
     if (nowMs - answeredAtMs > awayAfterMs + watchWaitMs) backAtMs = nowMs;
@@ -118,13 +175,15 @@
     client: options.client,
     clock,
     kind: source.kind,
-    waitMs: watchWaitMs,
+    waitMs: () => watchWaitMs,
+    follows: () => options.follows?.() ?? true,
     spacingMs: options.spacingMs,
     maxRetryMs,
     random: options.random,
     onSnapshot: (objects) => {
       noteAnswer();
       known = true;
+      cursor = undefined;
       const names = new Set(objects.map(({ name }) => name));
       [...targets.keys()].filter((id) => !names.has(id)).forEach(remove);
       objects.forEach(take);
@@ -150,6 +209,47 @@
     onChange: (listener) => {
       listeners.add(listener);
     },
+    share: (since) => {
+      if (!known || provedAt === undefined) return undefined;
+      const isKnownState = since?.listId === options.listId && since.changeCount >= oldestShared();
+      const sinceCount = isKnownState ? since.changeCount : 0;
+      const idsAfter = (counts: ReadonlyMap<string, number>) =>
+        [...counts].filter(([, count]) => count > sinceCount).map(([id]) => id);
+      return {
+        cursor: { listId: options.listId, changeCount: version },
+        ageMs: clocks.maxElapsedMs(clock, provedAt),
+        isWhole: !isKnownState,
+        changed: idsAfter(changedAtCount).map((id) => ({
+          version: versions.get(id) ?? 0,
+          target: targets.get(id)!,
+        })),
+        removedIds: isKnownState ? idsAfter(removedAtCount) : [],
+      };
+    },
+    cursor: () => cursor,
+    takeShared: (shared, askedAt) => {
+      const isOlder =
+        provedAt !== undefined && askedAt.monotonicMs - shared.ageMs < provedAt.monotonicMs;
+      // What this daemon has read itself since then is newer.
+      if (isOlder && cursor === undefined) return;
+      cursor = shared.cursor;
+      known = true;
+      provedAt = {
+        monotonicMs: askedAt.monotonicMs - shared.ageMs,
+        wallMs: askedAt.wallMs - shared.ageMs,
+      };
+      const kept = new Set(shared.changed.map(({ target }) => target.id));
+      const removed = shared.isWhole
+        ? [...targets.keys()].filter((id) => !kept.has(id))
+        : shared.removedIds.filter((id) => targets.has(id));
+      removed.forEach(forget);
+      shared.changed.forEach((entry) => {
+        versions.set(entry.target.id, entry.version);
+        targets.set(entry.target.id, entry.target);
+        noteEntry(entry.target.id);
+      });
+      if (removed.length + shared.changed.length > 0) changed();
+    },
     part: {
       name: 'target list',
       start: () => {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -17,10 +17,15 @@
   type PlanKeeper,
   type PlanKeeperOptions,
   type PlanSource,
+  type SharedPlan,
 } from './createPlanKeeper';
 export {
   createTargetList,
+  type ListCursor,
+  type SharedTarget,
+  type SharedTargets,
   type TargetList,
   type TargetListOptions,
   type TargetSource,
 } from './createTargetList';
+export { createFleetNews, type FleetNews, type FleetNewsOptions } from './createFleetNews';
--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -45,6 +45,7 @@
       runId: `${address}/${runCount}`,
       address,
       random: () => 0.5,
+      news: { question: () => 1, answer: () => 2, take: () => {} },
       ownLoads: () => ({ [`target of ${address}`]: 1, shared: 2 }),
     });
     await lease.part.start?.();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -42,6 +42,15 @@
   readonly random: () => number;
   /** Gives what this daemon itself has in progress; daemons tell each other as they check in. */
   readonly ownLoads: () => Loads;
+  /** What daemons tell each other beside; the holder answers. */
+  readonly news: LeaseNews;
+}
+
+/** A question that each check-in carries, and the holder's answer. */
+export interface LeaseNews {
+  readonly question: () => unknown;
+  readonly answer: (question: unknown) => unknown;
+  readonly take: (answer: unknown, askedAt: clocks.Moment) => void;
 }
 
 const recordSchema = zod.object({
@@ -50,19 +59,26 @@
   address: zod.string(),
 });
 const loadsSchema = zod.record(zod.string(), zod.number());
-const checkInSchema = zod.object({ address: zod.string(), loads: loadsSchema });
+const checkInSchema = zod.object({
+  address: zod.string(),
+  loads: loadsSchema,
+  question: zod.unknown(),
+});
 const checkedInSchema = zod.object({
   holderRunId: zod.string(),
   daemonCount: zod.number(),
   /** Those of all daemons but the one that checks in. */
   loads: loadsSchema,
+  news: zod.unknown(),
 });
 
 const checkInMethod = 'formation.checkIn';
-const tickMs = 250;
+const tickMs = 100;
 const checkInTimeoutMs = 400;
 /** A standby checks in this often. */
-const checkInIntervalMs = 400;
+const checkInIntervalMs = 300;
+/** What a check-in costs the holder bounds how often a large fleet checks in. */
+const checkInIntervalPerDaemonMs = 7;
 /** Misses in a row after which a standby takes over: less when the holder's port refuses. */
 const refusedMisses = 2;
 const silentMisses = 4;
@@ -183,6 +199,7 @@
     if (!(await read())) return;
     if (holder !== undefined && holder.runId !== before) {
       misses = { refused: 0, silent: 0 };
+      nextAtMs = 0;
       return;
     }
     const isOwnEarlierRun = holder?.address === address;
@@ -196,10 +213,11 @@
       return;
     }
     const asked = holder;
+    const askedAt = clocks.readMoment(clock);
     const result = await calls.call(
       asked.address,
       checkInMethod,
-      { address, loads: options.ownLoads() },
+      { address, loads: options.ownLoads(), question: options.news.question() },
       checkInTimeoutMs,
     );
     if (result.ok) {
@@ -207,6 +225,7 @@
       misses = { refused: 0, silent: 0 };
       if (checked.success && checked.data.holderRunId === asked.runId) {
         daemonCount = checked.data.daemonCount;
+        options.news.take(checked.data.news, askedAt);
         told = { loads: checked.data.loads, atMs: clock.monotonicMs() };
         return;
       }
@@ -230,7 +249,8 @@
         nextAtMs = nowMs + renewIntervalMs;
         await write(runId, 0);
       } else {
-        nextAtMs = nowMs + checkInIntervalMs * (0.8 + 0.4 * options.random());
+        const intervalMs = Math.max(checkInIntervalMs, daemonCount * checkInIntervalPerDaemonMs);
+        nextAtMs = nowMs + intervalMs * (0.8 + 0.4 * options.random());
         await checkIn();
       }
     } finally {
@@ -241,12 +261,14 @@
   calls.handle(checkInMethod, async (params, callerId) => {
     const checked = checkInSchema.safeParse(params);
     if (!checked.success) throw new Error('params: expected address and loads');
-    seen.set(callerId, { ...checked.data, atMs: clock.monotonicMs() });
+    const { address: callerAddress, loads, question } = checked.data;
+    seen.set(callerId, { address: callerAddress, loads, atMs: clock.monotonicMs() });
     return {
       // One that the store does not confirm any more has stopped acting, so another may act at once.
       holderRunId: isHolder() && isConfirmed() ? runId : '',
       daemonCount: countDaemons(),
       loads: sumLoads([loadsOfOthers(callerId), options.ownLoads()]),
+      news: isHolder() ? options.news.answer(question) : undefined,
     };
   });
 
@@ -271,6 +293,7 @@
         timer = setInterval(() => {
           void tick();
         }, tickMs);
+        void tick();
       },
       stop: async () => {
         stopped = true;
--- a/packages/formation/src/index.ts
+++ b/packages/formation/src/index.ts
@@ -16,6 +16,7 @@
   createLease,
   type Lease,
   type LeaseOptions,
+  type LeaseNews,
   type LeaseState,
   type Loads,
 } from './createLease';
--- a/packages/formation/src/judgeGroup.ts
+++ b/packages/formation/src/judgeGroup.ts
@@ -49,8 +49,7 @@
   if (headState === 'open') {
     return isWhole ? { kind: 'serving' } : { kind: 'must-close', isMemberGone };
   }
-  const isUsable =
-    isWhole && members.every(({ membership }) => membership.state !== 'broken');
+  const isUsable = isWhole && members.every(({ membership }) => membership.state !== 'broken');
   if (!isUsable) {
     return { kind: knowledge.mayBeOpening(group) ? 'must-leave' : 'dissolved' };
   }
--- a/packages/formation/src/planFormation.test.ts
+++ b/packages/formation/src/planFormation.test.ts
@@ -153,7 +153,9 @@
   while (!findMembers().some(({ membership }) => membership!.state === 'ready')) {
     controller.play(50);
   }
-  return { findMember: (rank: number) => findMembers().find((one) => one.membership!.rank === rank)! };
+  return {
+    findMember: (rank: number) => findMembers().find((one) => one.membership!.rank === rank)!,
+  };
 };
 
 test('uses no member of a group whose head may still carry out an order to open', () => {
--- a/packages/formation/src/testing/playFormation.ts
+++ b/packages/formation/src/testing/playFormation.ts
@@ -95,10 +95,11 @@
       hasHeadMovedOn: ({ key, members }) => {
         const headId = headIds.get(key);
         const head = headId === undefined ? undefined : listed.get(headId);
-        return head !== undefined && head.membership?.groupName !== members[0]!.membership.groupName;
+        return (
+          head !== undefined && head.membership?.groupName !== members[0]!.membership.groupName
+        );
       },
-      mayBeOpening: ({ key, epoch }) =>
-        Math.floor(epoch / 1_000) !== token || openedKeys.has(key),
+      mayBeOpening: ({ key, epoch }) => Math.floor(epoch / 1_000) !== token || openedKeys.has(key),
       mayOpen: ({ key, epoch }) => Math.floor(epoch / 1_000) === token && !closedKeys.has(key),
       isOrdered: book.isOrdered,
       stagingModel: book.stagingModel,
--- a/packages/object-store/src/createKindFollower.test.ts
+++ b/packages/object-store/src/createKindFollower.test.ts
@@ -22,7 +22,7 @@
     client,
     clock: clocks.createSystemClock(),
     kind: 'k',
-    waitMs: 10,
+    waitMs: () => 10,
     spacingMs: () => 0,
     maxRetryMs: 2,
     random: () => 0.5,
--- a/packages/object-store/src/createKindFollower.ts
+++ b/packages/object-store/src/createKindFollower.ts
@@ -9,7 +9,9 @@
   readonly clock: clocks.Clock;
   readonly kind: string;
   /** How long a watch waits at the store for a change. */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
+  /** Whether to call the store now; while not, nothing is known of what it holds. */
+  readonly follows?: () => boolean;
   /** The least time between the starts of two calls, so that changes in a burst share one. */
   readonly spacingMs: () => number;
   /** The longest pause after a failed call; the pause is drawn at random below it. */
@@ -31,6 +33,8 @@
 }
 
 const minRetryFraction = 0.1;
+/** How soon a follower notices that it is to call the store again. */
+const idleMs = 50;
 
 /** Creates a follower that has listed nothing yet. */
 export const createKindFollower = (options: KindFollowerOptions): KindFollower => {
@@ -47,7 +51,7 @@
   };
 
   const watch = async (askedAt: clocks.Moment, since: number, signal: AbortSignal) => {
-    const batch = await client.watch(kind, since, options.waitMs, signal);
+    const batch = await client.watch(kind, since, options.waitMs(), signal);
     if (!batch.ok) {
       if (batch.error.kind === 'expired') sinceVersion = undefined;
       return batch.error;
@@ -64,6 +68,11 @@
   return {
     run: async (signal) => {
       while (!signal.aborted) {
+        if (options.follows?.() === false) {
+          sinceVersion = undefined;
+          await sleep(idleMs, signal);
+          continue;
+        }
         const askedAt = clocks.readMoment(clock);
         const failure = await (sinceVersion === undefined
           ? list(askedAt)
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -196,6 +196,8 @@
     plan: {
       current: () => plan,
       ageMs,
+      share: () => undefined,
+      takeShared: () => {},
       ensureFresh: async (maxAgeMs) => ageMs() <= maxAgeMs,
       part: { name: 'plan' },
     },
@@ -205,6 +207,9 @@
       ageMs: () => 0,
       isKnown: () => true,
       onChange: () => {},
+      share: () => undefined,
+      cursor: () => undefined,
+      takeShared: () => {},
       part: { name: 'targets' },
     },
     callerWire,
