Leave an answer unframed whose target did not frame it

It now ends with the connection here too, and a stream that was begun in chunks is cut off after a run without a frame.

--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -1,6 +1,7 @@
 import * as targetClient from '@comfreydrum/target-client';
 import { answerHeadersOf } from './answerHeadersOf';
 import type { Candidate } from './chooseTarget';
+import { isUnframed } from './isUnframed';
 import type { RelayParts } from './RelayParts';
 import type { RequestContext } from './RequestContext';
 import { sendToTarget, type SendFailure } from './sendToTarget';
@@ -10,6 +11,8 @@
   readonly statusCode: number;
   readonly headers: Readonly<Record<string, string | string[]>>;
   readonly body: Buffer;
+  /** Whether the target left open where the body ends. */
+  readonly isUnframed: boolean;
 }
 
 export type ExchangeResult =
@@ -53,7 +56,12 @@
     const headers = answerHeadersOf(answer.headers);
     return {
       kind: 'answered',
-      answer: { statusCode: answer.statusCode, headers, body: read.value },
+      answer: {
+        statusCode: answer.statusCode,
+        headers,
+        body: read.value,
+        isUnframed: isUnframed(answer, context.request.method),
+      },
     };
   } finally {
     board.onEnd(candidate.key);
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -2,7 +2,9 @@
 import { answerHeadersOf } from './answerHeadersOf';
 import type { Candidate } from './chooseTarget';
 import { createEventSplitter, type StreamEvent } from './createEventSplitter';
+import { isUnframed } from './isUnframed';
 import { judgeSilence } from './judgeSilence';
+import { leaveUnframed } from './leaveUnframed';
 import type { StreamProgress } from './createStreamProgress';
 import type { RelayParts } from './RelayParts';
 import type { RequestContext } from './RequestContext';
@@ -10,7 +12,12 @@
 
 /** How one run of a stream ended. */
 export type StreamResult =
-  | { readonly kind: 'complete'; readonly statusCode: number }
+  | {
+      readonly kind: 'complete';
+      readonly statusCode: number;
+      /** Whether the target left open where the stream ends. */
+      readonly isUnframed: boolean;
+    }
   | { readonly kind: 'failed'; readonly failure: SendFailure; readonly wasSilent: boolean };
 
 /** One run of a stream at one target. */
@@ -66,6 +73,7 @@
           return `event ${event.id} came after event ${lastEventId}`;
         }
         if (!response.headersSent) {
+          if (isUnframed(answer, context.request.method)) leaveUnframed(response);
           response.writeHead(answer.statusCode, answerHeadersOf(answer.headers));
         }
         if (!response.write(event.bytes)) answer.body.pause();
@@ -195,7 +203,11 @@
     if (fault !== undefined) return fail({ ran: 'unknown', message: fault, wasRejected: false });
     const nowMs = clock.monotonicMs();
     board.onAnswer(candidate.key, nowMs - context.arrivedAtMs, nowMs);
-    return { kind: 'complete', statusCode: answer.statusCode };
+    return {
+      kind: 'complete',
+      statusCode: answer.statusCode,
+      isUnframed: isUnframed(answer, context.request.method),
+    };
   } finally {
     clearTimeout(deadline);
     stopWatching();
--- a/packages/relay/src/serveExchange.test.ts
+++ b/packages/relay/src/serveExchange.test.ts
@@ -115,6 +115,25 @@
   assert.is(failed.status, 500);
 });
 
+test('does not frame an answer as whole whose target did not frame it', async () => {
+  const unframed: http.RequestListener = (request, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    answerWith(200)(request, response);
+  };
+  const target = createTarget(unframed);
+  await withRelay(
+    { targets: [{ id: 't1', listener: target.listener }], route: lookup },
+    async ({ url }) => {
+      const answer = await call(url);
+      assert.is(answer.text, 'status 200');
+      assert.is(answer.headers['content-length'], undefined);
+      assert.is(answer.headers['transfer-encoding'], undefined);
+      assert.is(answer.headers.connection, 'close');
+    },
+  );
+});
+
 test('refuses a key that is unknown, and any key that is not proved good', async () => {
   const target = createTarget(answerWith(200));
   let ageMs = 0;
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -1,5 +1,6 @@
 import { attemptExchange, type WholeAnswer } from './attemptExchange';
 import { chooseTarget, type Candidate } from './chooseTarget';
+import { leaveUnframed } from './leaveUnframed';
 import { refuseKey } from './refuseKey';
 import { refuseNotRun, reportFailure } from './Refusal';
 import type { RelayParts } from './RelayParts';
@@ -18,7 +19,9 @@
 
 const writeAnswer = ({ response }: RequestContext, answer: WholeAnswer) => {
   const { statusCode, headers, body } = answer;
-  response.writeHead(statusCode, { ...headers, 'content-length': body.length });
+  if (answer.isUnframed) leaveUnframed(response);
+  const length = answer.isUnframed ? {} : { 'content-length': body.length };
+  response.writeHead(statusCode, { ...headers, ...length });
   response.end(body);
 };
 
--- a/packages/relay/src/serveStream.test.ts
+++ b/packages/relay/src/serveStream.test.ts
@@ -131,6 +131,33 @@
   }
 });
 
+test('does not frame a stream as whole whose target did not frame it', async () => {
+  const unframed: http.RequestListener = (request, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    beginStream(request, response, 's1');
+    response.end(eventsOf(1, 3));
+  };
+  await withRelay({ targets: [{ id: 't1', listener: unframed }] }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.text, eventsOf(1, 3));
+    assert.is(answer.headers['transfer-encoding'], undefined);
+  });
+  const torn: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    response.write(eventsOf(1, 2));
+    setTimeout(() => response.destroy(), 30);
+  };
+  const targets = [
+    { id: 't1', listener: torn },
+    { id: 't2', listener: unframed },
+  ];
+  await withRelay({ targets }, async ({ url }) => {
+    const answer = await call(url);
+    assert.not(answer.isComplete, 'whether the second run is whole is not known');
+  });
+});
+
 test('never passes on an answer to another request', async () => {
   const late: http.RequestListener = (request, response) => {
     request.resume();
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -141,8 +141,11 @@
     const result = await attemptStream(parts, context, { candidate, progress, mayMove });
     if (context.callerGone.aborted) return { kind: 'caller-gone' };
     if (result.kind === 'complete') {
+      const isFramed = response.headersSent && response.useChunkedEncodingByDefault;
       if (!response.headersSent) response.writeHead(result.statusCode);
-      response.end();
+      // The end of a run without a frame proves nothing to a caller who was promised one.
+      if (isFramed && result.isUnframed) response.socket?.destroySoon();
+      else response.end();
       const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
       return {
         kind: 'answered',
