--- /dev/null
+++ b/apps/comfreydrumctl/src/explainFromLogs.test.ts
@@ -0,0 +1,45 @@
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { explainFromLogs, readLogLines } from './explainFromLogs';
+
+const test = uvu.suite('explaining from logs');
+
+const line = (second: number, fields: Readonly<Record<string, unknown>>) =>
+  JSON.stringify({
+    level: 30,
+    time: `2026-09-02T23:33:${String(second).padStart(2, '0')}.000Z`,
+    instanceId: 'edge-1',
+    msg: 'm',
+    ...fields,
+  });
+
+const logs = [
+  `  12.3 edge-1 ${line(41, { requestId: 'r1', step: 'request', cause: 'target-failed' })}`,
+  line(40, { requestId: 'r1', step: 'stream', targetId: 'i-1', group: 'draft.5@5' }),
+  line(39, { step: 'probe', targetId: 'i-1', lost: true }),
+  line(39, { step: 'close', targetId: 'i-9', groupName: 'draft.5' }),
+  line(10, { step: 'join', targetId: 'i-1', groupName: 'draft.5' }),
+  line(40, { requestId: 'r2', step: 'request', targetId: 'i-1' }),
+  'started',
+  '{"time":"2026-09-02T23:33:40.000Z","requestId":"r1","st',
+].join('\n');
+
+test('tells what happened to a request and to the targets it met, in order', () => {
+  const story = explainFromLogs('r1', readLogLines(logs));
+  assert.equal(
+    story.map((text) => text.split('  ')[2]),
+    ['probe', 'close', 'stream', 'request'],
+  );
+  assert.match(story[3]!, 'cause=target-failed');
+});
+
+test('tells the story of a group or target by its own name', () => {
+  const story = explainFromLogs('draft.5', readLogLines(logs));
+  assert.ok(story.some((text) => text.includes('join')));
+});
+
+test('finds nothing for an unknown id', () => {
+  assert.equal(explainFromLogs('r9', readLogLines(logs)), []);
+});
+
+test.run();
--- a/apps/comfreydrumctl/src/main.ts
+++ b/apps/comfreydrumctl/src/main.ts
@@ -1,4 +1,4 @@
-import { writeFile } from 'node:fs/promises';
+import { readFile, writeFile } from 'node:fs/promises';
 import process from 'node:process';
 import type * as admin from '@comfreydrum/admin';
 import * as telemetry from '@comfreydrum/telemetry';
@@ -8,6 +8,7 @@
 import { CommandFailure } from './CommandFailure';
 import { createAdminClient, errorMessage, type AdminClient } from './createAdminClient';
 import { exitCodes } from './exitCodes';
+import { explainFromLogs, readLogLines } from './explainFromLogs';
 import { formatStatus } from './formatStatus';
 import { formatTimeline } from './formatTimeline';
 
@@ -143,6 +144,19 @@
     print(`${claimId}: ${options.outcome}`);
   });
 
+program
+  .command('explain <id> <files...>')
+  .description('tell the story of a request, group or target from the logs of daemons')
+  .action(async (id: string, files: readonly string[]) => {
+    const texts = await Promise.all(files.map((file) => readFile(file, 'utf8')));
+    const story = explainFromLogs(id, texts.flatMap(readLogLines));
+    if (story.length === 0) {
+      const message = `no line of ${files.join(', ')} names "${id}"`;
+      throw new CommandFailure('explain', files.join(', '), message, exitCodes.failure);
+    }
+    story.forEach(print);
+  });
+
 addCompletion(program);
 
 try {
--- a/packages/settings/src/loadSettings.test.ts
+++ b/packages/settings/src/loadSettings.test.ts
@@ -35,6 +35,24 @@
   assert.is(result.ok && result.value.peers.probeIntervalMs, 1_000);
 });
 
+test('takes the variable that names the file for no override', async ({ folder }) => {
+  const result = await load(folder, JSON.stringify(valid), {
+    COMFREYDRUM_CONFIG: '/etc/comfreydrum/local.json',
+    COMFREYDRUM_log__level: 'debug',
+  });
+  assert.is(result.ok && result.value.log.level, 'debug');
+});
+
+test('names what is wrong with the settings of a relay', async ({ folder }) => {
+  const file = join(folder, 'relay.json');
+  await writeFile(file, JSON.stringify({ instanceId: 'edge-1', store: { address: 'here' } }));
+  const result = await settings.loadRelaySettings(file);
+  assert.not(result.ok);
+  if (result.ok) return;
+  assert.match(result.error.message, `${file} .store.address: expected IP:port`);
+  assert.match(result.error.message, `${file} .failureDomain`);
+});
+
 test('names the file, the path and what was expected', async ({ folder }) => {
   const text = JSON.stringify({ ...valid, peers: { listen: 'entry-1', colour: 'red' } });
   const result = await load(folder, text);
--- a/scripts/generateSchemas.ts
+++ b/scripts/generateSchemas.ts
@@ -9,6 +9,7 @@
 const schemas = {
   'schemas/configuration.schema.json': configuration.configurationSchema,
   'schemas/settings.schema.json': settings.settingsSchema,
+  'schemas/relay-settings.schema.json': settings.relaySettingsSchema,
 } as const;
 
 const render = async (schema: zod.ZodType): Promise<string> => {
