Call targets from the address that the settings name, also by the connector

The connector of the reset's code had dropped the local address of the agent; the test that was there found it.

--- a/packages/target-client/src/createTargetClient.ts
+++ b/packages/target-client/src/createTargetClient.ts
@@ -44,12 +44,9 @@
  * answer without a length, which would make a cut-off answer look whole.
  */
 const createConnector = (localAddress: string | undefined): undici.buildConnector.connector => {
-  const connect = undici.buildConnector({
-    timeout: connectTimeoutMs,
-    ...(localAddress === undefined ? {} : { localAddress }),
-  });
+  const connect = undici.buildConnector({ timeout: connectTimeoutMs });
   return (options, callback) =>
-    connect(options, (...result) => {
+    connect({ ...options, localAddress: localAddress ?? null }, (...result) => {
       const [, socket] = result;
       socket?.on('error', (cause: NodeJS.ErrnoException) => {
         if (cause.code === 'ECONNRESET') Object.assign(cause, { code: resetCode });
