Leave a group alone while its members appear in the list, and open none that a late join may break

A group counts as forming until its orders are shown or have failed; a group is opened only when no member has an unanswered order to join of a higher epoch. Its check of whole groups asks that each member was ready once, as a member that is lost since then excuses.

--- a/packages/fleet/src/Group.ts
+++ b/packages/fleet/src/Group.ts
@@ -29,14 +29,18 @@
 
 const hasMembership = (target: Target): target is GroupMember => target.membership !== undefined;
 
-const keyOf = ({ groupName, epoch }: GroupMembership) => `${groupName}@${epoch}`;
+/** Names a group at one epoch. */
+export const groupKeyOf = ({
+  groupName,
+  epoch,
+}: Pick<GroupMembership, 'groupName' | 'epoch'>): string => `${groupName}@${epoch}`;
 
 /** Collects targets into the groups that they report. */
 export const groupsOf = (targets: Iterable<Target>): readonly Group[] => {
   const membersByKey = new Map<string, GroupMember[]>();
   for (const target of targets) {
     if (!hasMembership(target)) continue;
-    const key = keyOf(target.membership);
+    const key = groupKeyOf(target.membership);
     membersByKey.set(key, [...(membersByKey.get(key) ?? []), target]);
   }
   return [...membersByKey].map(([key, unordered]) => {
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -9,7 +9,7 @@
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
 import { createMemberCheck } from './createMemberCheck';
-import { createOrderBook } from './createOrderBook';
+import { createOrderBook, type OrderAnswer } from './createOrderBook';
 import type { FormationStep } from './FormationStep';
 import { planFormation, type FormationView } from './planFormation';
 import { summarizeFleet } from './summarizeFleet';
@@ -58,6 +58,11 @@
 
 const suspicionSchema = zod.object({ targetId: zod.string(), isSilent: zod.boolean() });
 
+const answerOf = (outcome: OrderOutcome): OrderAnswer => {
+  if (outcome === 'accepted') return 'taken';
+  return outcome === 'unanswered' ? 'unanswered' : 'refused';
+};
+
 /** Tells whether a group was formed under a token. */
 const isOwn = ({ epoch }: fleet.Group, token: number): boolean =>
   Math.floor(epoch / epochsPerToken) === token;
@@ -102,10 +107,6 @@
     onReached: detector.noteAnswer,
     onChange: schedule,
   });
-  /** Groups that this daemon closed; they are formed anew rather than opened again. */
-  const closedKeys = new Set<string>();
-  /** Groups that this daemon ordered to open, whatever became of the order. */
-  const openedKeys = new Set<string>();
 
   const noteOutcome = (
     target: fleet.Target,
@@ -154,9 +155,14 @@
         const memberIds = members.map(({ id }) => id);
         const order = { token, groupName, epoch, modelName, memberIds };
         log.info({ step: 'form', groupName, epoch, memberIds, reason }, 'forming a group');
+        book.noteForm({ key: fleet.groupKeyOf({ groupName, epoch }) }, members);
         members.forEach((target) => {
           book.note(target);
-          give(target, 'join', { groupName, epoch }, () => orders.join(target, order));
+          give(target, 'join', { groupName, epoch }, async () => {
+            const outcome = await orders.join(target, order);
+            book.noteJoinAnswer(target, epoch, outcome !== 'unanswered');
+            return outcome;
+          });
         });
         return;
       }
@@ -164,16 +170,24 @@
         const { group, head } = next;
         const ref = { token, groupName: group.name, epoch: group.epoch };
         book.note(head);
-        openedKeys.add(group.key);
-        give(head, 'open', ref, () => orders.open(head, ref));
+        book.noteOpen(group);
+        give(head, 'open', ref, async () => {
+          const outcome = await orders.open(head, ref);
+          book.noteOpenAnswer(group, answerOf(outcome));
+          return outcome;
+        });
         return;
       }
       case 'close': {
         const { group, head, mode, reason } = next;
         const ref = { token, groupName: group.name, epoch: group.epoch };
         book.note(head);
-        closedKeys.add(group.key);
-        give(head, 'close', { ...ref, mode, reason }, () => orders.close(head, ref, mode));
+        book.noteClose(group);
+        give(head, 'close', { ...ref, mode, reason }, async () => {
+          const outcome = await orders.close(head, ref, mode);
+          book.noteCloseAnswer(group, answerOf(outcome));
+          return outcome;
+        });
         return;
       }
       case 'leave': {
@@ -213,8 +227,9 @@
         isLost: detector.isLost,
         isHeadGone: headCheck.isGone,
         hasHeadMovedOn: (group) => headCheck.hasMovedOn(group, listed),
-        mayOpen: (group) => isOwn(group, state.token) && !closedKeys.has(group.key),
-        mayBeOpening: (group) => !isOwn(group, state.token) || openedKeys.has(group.key),
+        isBeingFormed: book.isBeingFormed,
+        mayOpen: (group) => isOwn(group, state.token) && book.mayOpen(group),
+        mayBeOpening: (group) => !isOwn(group, state.token) || book.mayBeOpening(group),
         isOrdered: book.isOrdered,
         stagingModel: book.stagingModel,
         modelByDomain: modelsByService.get(name) ?? new Map(),
--- a/packages/formation/src/judgeGroup.ts
+++ b/packages/formation/src/judgeGroup.ts
@@ -27,7 +27,9 @@
   readonly hasHeadMovedOn: (group: fleet.Group) => boolean;
   /** Whether no daemon reaches the head of a group any more. */
   readonly isHeadGone: (group: fleet.Group) => boolean;
-  /** Whether the group was formed by this controller and not closed since. */
+  /** Whether members may still be missing from the list only because they were ordered just now. */
+  readonly isBeingFormed: (group: fleet.Group) => boolean;
+  /** Whether this controller may let the group serve. */
   readonly mayOpen: (group: fleet.Group) => boolean;
   /** Whether the head of a group may have been ordered to open it. */
   readonly mayBeOpening: (group: fleet.Group) => boolean;
@@ -37,6 +39,12 @@
 export const judgeGroup = (group: fleet.Group, knowledge: GroupKnowledge): GroupVerdict => {
   const { groupSize, isLost } = knowledge;
   const { head, members } = group;
+  if (knowledge.isBeingFormed(group) && !members.some(isLost)) {
+    const isReady =
+      members.length === groupSize &&
+      members.every(({ membership }) => membership.state === 'ready');
+    if (!isReady) return { kind: 'forming' };
+  }
   if (head === undefined && knowledge.hasHeadMovedOn(group)) return { kind: 'dissolved' };
   if (head === undefined || isLost(head)) {
     return { kind: knowledge.isHeadGone(group) ? 'abandoned' : 'orphaned' };
--- a/packages/formation/src/planFormation.test.ts
+++ b/packages/formation/src/planFormation.test.ts
@@ -170,6 +170,23 @@
   }
 });
 
+test('opens no group of which a member may yet carry out a later order to join', () => {
+  for (const delayMs of [800, 2_000, 4_000]) {
+    const { fabric, controller } = startFleet(quickDetectionMs);
+    const small = fabric
+      .listed()
+      .filter(({ membership }) => membership?.groupName.startsWith('small'));
+    const inDomain = small.filter(({ fabricDomain }) => fabricDomain === small[0]!.fabricDomain);
+    inDomain
+      .filter(({ membership }) => membership!.rank === 1)
+      .forEach(({ id }) => fabric.kill(id));
+    controller.play(200);
+    fabric.delayNextJoin(delayMs);
+    controller.play(6_000);
+    assert.equal(fabric.violations, [], `a join carried out after ${delayMs} ms`);
+  }
+});
+
 test('closes a head that is about to open when a member is lost', () => {
   for (const afterMs of [50, 100, 150, 200, 250, 300]) {
     const { fabric, controller } = startFleet(quickDetectionMs);
@@ -212,6 +229,7 @@
       'cut',
       'leave',
       'lateOpen',
+      'lateJoin',
       'domain',
       'takeOver',
       'add',
@@ -227,6 +245,7 @@
         const id = ids[pick % ids.length]!;
         if (kind === 'kill') fabric.kill(id);
         if (kind === 'cut') fabric.cut(id);
+        if (kind === 'lateJoin') fabric.delayNextJoin(200 + pick * 5);
         if (kind === 'lateOpen') fabric.delayNextOpen(200 + pick * 5);
         if (kind === 'leave') fabric.beginLeaving(id);
         if (kind === 'takeOver') controller.takeOver();
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -14,7 +14,9 @@
   readonly hasHeadMovedOn: (group: fleet.Group) => boolean;
   /** Whether no daemon reaches the head of a group any more. */
   readonly isHeadGone: (group: fleet.Group) => boolean;
-  /** Whether the group was formed by this controller and not closed since. */
+  /** Whether members may still be missing from the list only because they were ordered just now. */
+  readonly isBeingFormed: (group: fleet.Group) => boolean;
+  /** Whether this controller may let the group serve. */
   readonly mayOpen: (group: fleet.Group) => boolean;
   /** Whether the head of a group may have been ordered to open it. */
   readonly mayBeOpening: (group: fleet.Group) => boolean;
--- a/packages/formation/src/testing/createFakeFabric.ts
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -21,6 +21,8 @@
   loaded: string[];
   membership: fleet.GroupMembership | undefined;
   epochSeen: number;
+  /** The groups in which it has been ready. */
+  readonly readyFor: Set<string>;
   members: readonly string[];
   alive: boolean;
   isCut: boolean;
@@ -60,6 +62,8 @@
   readonly open: (id: string, groupName: string) => OrderOutcome;
   /** Leaves the next order to open unanswered, and carries it out this much later if it still fits. */
   readonly delayNextOpen: (delayMs: number) => void;
+  /** Does so with the next order to join. */
+  readonly delayNextJoin: (delayMs: number) => void;
   readonly close: (id: string, groupName: string, mode: CloseMode) => OrderOutcome;
   readonly leave: (id: string, groupName: string) => OrderOutcome;
   readonly stage: (id: string, modelName: string) => OrderOutcome;
@@ -75,6 +79,8 @@
 const closeMs = 50;
 const stepMs = 10;
 const defaultListLagMs = 50;
+/** The slowest entries of a list are this many times later than the quickest. */
+const lagSteps = 4;
 const defaultLapseMs = 3_600;
 
 /** Creates a fabric without targets. */
@@ -87,9 +93,16 @@
   const violations: Violation[] = [];
   const shown: { readonly atMs: number; readonly list: readonly fleet.Target[] }[] = [];
   const late: { readonly atMs: number; readonly id: string; readonly groupName: string }[] = [];
+  const lateJoins: { readonly atMs: number; readonly carryOut: () => void }[] = [];
   let nextOpenDelayMs: number | undefined;
+  let nextJoinDelayMs: number | undefined;
   let nowMs = 0;
 
+  const lagOf = (id: string): number => {
+    const sum = [...id].reduce((total, letter) => total + letter.charCodeAt(0), 0);
+    return listLagMs * (1 + (sum % lagSteps));
+  };
+
   const modelOf = (name: string) => engine.models.find((model) => model.name === name)!;
 
   const setState = (id: string, state: fleet.MembershipState) => {
@@ -148,6 +161,7 @@
     if (work.isLoad) target.staged = [modelName];
     if (work.kind === 'stage') return;
     target.loaded = [modelName];
+    if (target.membership) target.readyFor.add(target.membership.groupName);
     setState(id, 'ready');
   };
 
@@ -174,6 +188,9 @@
 
   const step = () => {
     openLate();
+    lateJoins
+      .splice(0)
+      .forEach((join) => (join.atMs <= nowMs ? join.carryOut() : lateJoins.push(join)));
     const slowdown = Math.max(1, loadCount() / engine.concurrentLoads);
     targets.forEach(({ alive }, id) => {
       if (!alive) return;
@@ -182,7 +199,7 @@
     });
     nowMs += stepMs;
     shown.push({ atMs: nowMs, list: snapshot() });
-    while (shown.length > 1 && shown[1]!.atMs <= nowMs - listLagMs) shown.shift();
+    while (shown.length > 1 && shown[1]!.atMs <= nowMs - listLagMs * lagSteps) shown.shift();
   };
 
   const find = (id: string): FakeTarget | undefined => {
@@ -190,6 +207,30 @@
     return target?.alive && !target.isCut ? target : undefined;
   };
 
+  const join: FakeFabric['join'] = (id, { groupName, epoch, modelName, memberIds }) => {
+    const target = find(id);
+    if (target === undefined) return 'unanswered';
+    if (epoch < target.epochSeen) return 'outdated';
+    if (target.membership?.groupName !== groupName && isBound(target)) {
+      violations.push('two-groups');
+    }
+    const model = modelOf(modelName);
+    const isLoad = !target.loaded.includes(modelName) && !target.staged.includes(modelName);
+    const hostMs = target.staged.includes(modelName) ? model.stagedJoinMs : model.loadMs;
+    const leftMs = target.loaded.includes(modelName) ? inMemoryJoinMs : hostMs;
+    target.epochSeen = epoch;
+    target.members = memberIds;
+    target.loaded = target.loaded.filter((name) => name === modelName);
+    target.membership = {
+      groupName,
+      epoch,
+      rank: memberIds.indexOf(id),
+      state: 'joining',
+    };
+    target.work = { kind: 'join', modelName, leftMs, isLoad };
+    return 'accepted';
+  };
+
   return {
     add: (id, fabricDomain, failureDomain) => {
       targets.set(id, {
@@ -201,6 +242,7 @@
         loaded: [],
         membership: undefined,
         epochSeen: 0,
+        readyFor: new Set(),
         members: [],
         alive: true,
         isCut: false,
@@ -227,30 +269,22 @@
     advance: (durationMs) => {
       for (let leftMs = durationMs; leftMs > 0; leftMs -= stepMs) step();
     },
-    listed: () => shown[0]?.list ?? snapshot(),
+    listed: () => {
+      // Entries are written one by one, so that a list mixes earlier and later states.
+      const at = (lagMs: number) =>
+        shown.findLast(({ atMs }) => atMs <= nowMs - lagMs)?.list ?? shown[0]?.list ?? snapshot();
+      const latest = at(0);
+      return latest.flatMap(({ id }) => at(lagOf(id)).find((entry) => entry.id === id) ?? []);
+    },
     isReachable: (id) => find(id) !== undefined,
-    join: (id, { groupName, epoch, modelName, memberIds }) => {
-      const target = find(id);
-      if (target === undefined) return 'unanswered';
-      if (epoch < target.epochSeen) return 'outdated';
-      if (target.membership?.groupName !== groupName && isBound(target)) {
-        violations.push('two-groups');
-      }
-      const model = modelOf(modelName);
-      const isLoad = !target.loaded.includes(modelName) && !target.staged.includes(modelName);
-      const hostMs = target.staged.includes(modelName) ? model.stagedJoinMs : model.loadMs;
-      const leftMs = target.loaded.includes(modelName) ? inMemoryJoinMs : hostMs;
-      target.epochSeen = epoch;
-      target.members = memberIds;
-      target.loaded = target.loaded.filter((name) => name === modelName);
-      target.membership = {
-        groupName,
-        epoch,
-        rank: memberIds.indexOf(id),
-        state: 'joining',
-      };
-      target.work = { kind: 'join', modelName, leftMs, isLoad };
-      return 'accepted';
+    delayNextJoin: (delayMs) => {
+      nextJoinDelayMs = delayMs;
+    },
+    join: (id, order) => {
+      if (nextJoinDelayMs === undefined) return join(id, order);
+      lateJoins.push({ atMs: nowMs + nextJoinDelayMs, carryOut: () => join(id, order) });
+      nextJoinDelayMs = undefined;
+      return 'unanswered';
     },
     open: (id, groupName) => {
       const target = find(id);
@@ -262,7 +296,11 @@
         nextOpenDelayMs = undefined;
         return 'unanswered';
       }
-      if (!isWhole(target)) violations.push('partial-group');
+      // A member that was ready and is lost since then excuses; one that never was does not.
+      const wereReady = target.members.every((member) =>
+        targets.get(member)?.readyFor.has(groupName),
+      );
+      if (!wereReady) violations.push('partial-group');
       target.work = { kind: 'open', leftMs: formMs, isLoad: false };
       return 'accepted';
     },
