--- /dev/null
+++ b/packages/formation/src/losses.test.ts
@@ -0,0 +1,127 @@
+import * as clocks from '@comfreydrum/clock';
+import * as errors from '@comfreydrum/errors';
+import type * as fleet from '@comfreydrum/fleet';
+import * as telemetry from '@comfreydrum/telemetry';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { createHeadCheck } from './createHeadCheck';
+import { createLossDetector } from './createLossDetector';
+import type { ProbeFailure, TargetOrders } from './TargetOrders';
+import { createFakeNetwork } from './testing/createFakeNetwork';
+
+const test = uvu.suite('losses of targets');
+
+const log = telemetry.createLog({ level: 'silent', instanceId: 'test' });
+
+const target = (id: string): fleet.GroupMember =>
+  ({
+    id,
+    startedAtMs: 1,
+    address: `${id}:1`,
+    membership: { groupName: 'draft.1', epoch: 1, rank: 0, state: 'open' },
+  }) as fleet.GroupMember;
+
+const settle = () =>
+  new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+
+type Answer = 'lives' | 'silent' | 'refused' | 'other-run';
+
+const createOrders = (answer: () => Answer): Pick<TargetOrders, 'probe'> => ({
+  probe: async ({ id }) => {
+    const kind = answer();
+    if (kind === 'silent' || kind === 'refused') {
+      return errors.err<ProbeFailure>({ kind, step: 'probe', peer: id, message: kind });
+    }
+    return errors.ok({
+      targetId: id,
+      startedAtMs: kind === 'lives' ? 1 : 2,
+      paceFactor: 1,
+      activeRequests: 0,
+      queuedRequests: 0,
+    });
+  },
+});
+
+const detect = async (answers: readonly Answer[], silentElsewhere = false) => {
+  const left = [...answers];
+  let askedCount = 0;
+  const orders = createOrders(() => {
+    askedCount += 1;
+    return left.shift() ?? 'lives';
+  });
+  const clock = clocks.createManualClock(10_000);
+  const detector = createLossDetector({ clock, log, orders, onChange: () => {} });
+  detector.suspect([target('a')], silentElsewhere);
+  await settle();
+  return { isLost: detector.isLost(target('a')), askedCount };
+};
+
+test('are believed after two silent probes, one refusal, or one probe of two daemons', async () => {
+  assert.equal(await detect(['silent', 'silent']), { isLost: true, askedCount: 2 });
+  assert.equal(await detect(['silent', 'lives']), { isLost: false, askedCount: 2 });
+  assert.equal(await detect(['refused']), { isLost: true, askedCount: 1 });
+  assert.equal(await detect(['silent'], true), { isLost: true, askedCount: 1 });
+  assert.equal(await detect(['lives'], true), { isLost: false, askedCount: 1 });
+  assert.equal(await detect(['other-run']), { isLost: true, askedCount: 1 });
+});
+
+const group = {
+  key: 'draft.1@1',
+  name: 'draft.1',
+  epoch: 1,
+  modelName: 'draft',
+  head: target('a'),
+  members: [target('a')],
+} as const;
+
+/** Asks whether a head is gone, of daemons that reach it or not. */
+const checkHead = async (own: Answer, others: readonly Answer[]) => {
+  const network = createFakeNetwork();
+  const clock = clocks.createManualClock(10_000);
+  const create = (address: string, answer: Answer, peers: readonly string[]) =>
+    createHeadCheck({
+      clock,
+      log,
+      orders: createOrders(() => answer),
+      calls: network.join(address),
+      peerAddresses: () => peers,
+      onReached: () => {},
+      onChange: () => {},
+    });
+  const addresses = others.map((_, index) => `peer-${index}`);
+  others.forEach((answer, index) => create(addresses[index]!, answer, []));
+  const check = create('self', own, addresses);
+  check.learn([group]);
+  check.isGone(group);
+  await settle();
+  return check.isGone(group);
+};
+
+test('of a head are believed only when no daemon reaches it', async () => {
+  assert.ok(await checkHead('silent', ['silent', 'refused']));
+  assert.not(await checkHead('silent', ['silent', 'lives']));
+  assert.not(await checkHead('lives', ['silent', 'silent']));
+});
+
+test('of a head show in the list when it has started anew or moved on', () => {
+  const check = createHeadCheck({
+    clock: clocks.createManualClock(10_000),
+    log,
+    orders: createOrders(() => 'silent'),
+    calls: createFakeNetwork().join('self'),
+    peerAddresses: () => [],
+    onReached: () => {},
+    onChange: () => {},
+  });
+  check.learn([group]);
+  const listed = (change: Partial<fleet.Target>) =>
+    new Map([['a', { ...target('a'), ...change }]]);
+  assert.not(check.hasMovedOn(group, listed({})));
+  assert.ok(check.hasMovedOn(group, listed({ startedAtMs: 2 })));
+  assert.ok(check.hasMovedOn(group, listed({ membership: undefined })));
+  assert.not(check.hasMovedOn(group, new Map()));
+});
+
+test.run();
--- a/packages/formation/src/planFormation.test.ts
+++ b/packages/formation/src/planFormation.test.ts
@@ -173,10 +173,12 @@
 test('opens no group of which a member may yet carry out a later order to join', () => {
   for (const delayMs of [800, 2_000, 4_000]) {
     const { fabric, controller } = startFleet(quickDetectionMs);
-    const small = fabric
+    const smallMembers = fabric
       .listed()
       .filter(({ membership }) => membership?.groupName.startsWith('small'));
-    const inDomain = small.filter(({ fabricDomain }) => fabricDomain === small[0]!.fabricDomain);
+    const inDomain = smallMembers.filter(
+      ({ fabricDomain }) => fabricDomain === smallMembers[0]!.fabricDomain,
+    );
     inDomain
       .filter(({ membership }) => membership!.rank === 1)
       .forEach(({ id }) => fabric.kill(id));
