--- a/packages/formation/src/losses.test.ts
+++ b/packages/formation/src/losses.test.ts
@@ -116,8 +116,7 @@
     onChange: () => {},
   });
   check.learn([group]);
-  const listed = (change: Partial<fleet.Target>) =>
-    new Map([['a', { ...target('a'), ...change }]]);
+  const listed = (change: Partial<fleet.Target>) => new Map([['a', { ...target('a'), ...change }]]);
   assert.not(check.hasMovedOn(group, listed({})));
   assert.ok(check.hasMovedOn(group, listed({ startedAtMs: 2 })));
   assert.ok(check.hasMovedOn(group, listed({ membership: undefined })));
