--- a/packages/fleet/src/Group.ts
+++ b/packages/fleet/src/Group.ts
@@ -1,4 +1,4 @@
-import type { GroupMembership, MembershipState, Target } from './Target';
+import type { GroupMembership, Target } from './Target';
 
 /** A target with its place in a group. */
 export interface GroupMember extends Target {
@@ -56,10 +56,3 @@
     };
   });
 };
-
-/** The states in which a head takes requests, or still works on some. */
-const workingStates: ReadonlySet<MembershipState> = new Set(['open', 'closing']);
-
-/** Tells whether the head of a group serves or still works on what it took. */
-export const isHeadWorking = ({ head }: Group): boolean =>
-  head !== undefined && workingStates.has(head.membership.state);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,14 +10,7 @@
   TrafficPlan,
 } from './TrafficPlan';
 export { runKeyOf, type GroupMembership, type MembershipState, type Target } from './Target';
-export {
-  formGroupName,
-  groupKeyOf,
-  groupsOf,
-  isHeadWorking,
-  type Group,
-  type GroupMember,
-} from './Group';
+export { formGroupName, groupKeyOf, groupsOf, type Group, type GroupMember } from './Group';
 export { findRoute } from './findRoute';
 export {
   createPlanKeeper,
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -6,10 +6,11 @@
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
 import type { Lease } from './createLease';
+import { answerOf } from './answerOf';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
 import { createMemberCheck } from './createMemberCheck';
-import { createOrderBook, type OrderAnswer } from './createOrderBook';
+import { createOrderBook } from './createOrderBook';
 import type { FormationStep } from './FormationStep';
 import { planFormation, type FormationView } from './planFormation';
 import { summarizeFleet } from './summarizeFleet';
@@ -58,11 +59,6 @@
 
 const suspicionSchema = zod.object({ targetId: zod.string(), isSilent: zod.boolean() });
 
-const answerOf = (outcome: OrderOutcome): OrderAnswer => {
-  if (outcome === 'accepted') return 'taken';
-  return outcome === 'unanswered' ? 'unanswered' : 'refused';
-};
-
 /** Tells whether a group was formed under a token. */
 const isOwn = ({ epoch }: fleet.Group, token: number): boolean =>
   Math.floor(epoch / epochsPerToken) === token;
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -1,25 +1,13 @@
 import * as fleet from '@comfreydrum/fleet';
 import { assignModels, type FabricDomain } from './assignModels';
 import type { FormationStep } from './FormationStep';
-import { judgeGroup, type GroupVerdict } from './judgeGroup';
+import { judgeGroup, type GroupKnowledge, type GroupVerdict } from './judgeGroup';
 
 /** What the next steps are decided from. */
-export interface FormationView {
+export interface FormationView extends Omit<GroupKnowledge, 'groupSize'> {
   readonly engine: fleet.EngineProfile;
   /** The listed targets of the service. */
   readonly targets: readonly fleet.Target[];
-  /** Whether a listed target is known to be lost all the same. */
-  readonly isLost: (target: fleet.Target) => boolean;
-  /** Whether the head is known to have started anew or to be in another group, or in none. */
-  readonly hasHeadMovedOn: (group: fleet.Group) => boolean;
-  /** Whether no daemon reaches the head of a group any more. */
-  readonly isHeadGone: (group: fleet.Group) => boolean;
-  /** Whether members may still be missing from the list only because they were ordered just now. */
-  readonly isBeingFormed: (group: fleet.Group) => boolean;
-  /** Whether this controller may let the group serve. */
-  readonly mayOpen: (group: fleet.Group) => boolean;
-  /** Whether the head of a group may have been ordered to open it. */
-  readonly mayBeOpening: (group: fleet.Group) => boolean;
   /** Whether an order to the target is under way whose effect is not listed yet. */
   readonly isOrdered: (target: fleet.Target) => boolean;
   /** Gives the model whose weights a target is loading onto its host. */
--- a/packages/formation/src/testing/playFormation.ts
+++ b/packages/formation/src/testing/playFormation.ts
@@ -1,9 +1,9 @@
 import * as clocks from '@comfreydrum/clock';
 import * as fleet from '@comfreydrum/fleet';
-import { createOrderBook, type OrderAnswer } from '../createOrderBook';
+import { answerOf } from '../answerOf';
+import { createOrderBook } from '../createOrderBook';
 import type { FormationStep } from '../FormationStep';
 import { planFormation } from '../planFormation';
-import type { OrderOutcome } from '../TargetOrders';
 import type { FakeFabric } from './createFakeFabric';
 
 /** A controller of a test, in the time of a fake fabric. */
@@ -20,11 +20,6 @@
 /** How long probes take to find that a target is dead. */
 const usualDetectionMs = 400;
 
-const answerOf = (outcome: OrderOutcome): OrderAnswer => {
-  if (outcome === 'accepted') return 'taken';
-  return outcome === 'unanswered' ? 'unanswered' : 'refused';
-};
-
 /** Plays the planner against a fabric. */
 export const playFormation = (
   fabric: FakeFabric,
--- a/packages/relay/src/serveExchange.test.ts
+++ b/packages/relay/src/serveExchange.test.ts
@@ -2,19 +2,11 @@
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { call } from './testing/callers';
-import { createTestRelay, type TestRelay, type TestRelayOptions } from './testing/createTestRelay';
+import { createTestRelay, type TestRelayOptions } from './testing/createTestRelay';
+import { withRelay } from './testing/withRelay';
 
 const test = uvu.suite('whole answers');
 
-const withRelay = async (options: TestRelayOptions, use: (relay: TestRelay) => Promise<void>) => {
-  const relay = await createTestRelay(options);
-  try {
-    await use(relay);
-  } finally {
-    await relay.stop();
-  }
-};
-
 /** Plays an answer and counts the requests that came. */
 const createTarget = (answer: http.RequestListener) => {
   let count = 0;
--- a/packages/relay/src/serveStream.test.ts
+++ b/packages/relay/src/serveStream.test.ts
@@ -2,20 +2,11 @@
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { call } from './testing/callers';
-import { createTestRelay, type TestRelay, type TestRelayOptions } from './testing/createTestRelay';
 import { beginStream, eventOf, eventsOf, resumeIdOf, streamTo } from './testing/streams';
+import { withRelay } from './testing/withRelay';
 
 const test = uvu.suite('streams');
 
-const withRelay = async (options: TestRelayOptions, use: (relay: TestRelay) => Promise<void>) => {
-  const relay = await createTestRelay(options);
-  try {
-    await use(relay);
-  } finally {
-    await relay.stop();
-  }
-};
-
 /** Answers as told, and counts its requests. */
 const counting = (listener: http.RequestListener) => {
   const seen: http.IncomingMessage[] = [];
