--- a/apps/comfreydrumctl/src/main.ts
+++ b/apps/comfreydrumctl/src/main.ts
@@ -145,14 +145,14 @@
   });
 
 program
-  .command('explain <id> <files...>')
+  .command('explain-logs <id> <files...>')
   .description('tell the story of a request, group or target from the logs of daemons')
   .action(async (id: string, files: readonly string[]) => {
     const texts = await Promise.all(files.map((file) => readFile(file, 'utf8')));
     const story = explainFromLogs(id, texts.flatMap(readLogLines));
     if (story.length === 0) {
       const message = `no line of ${files.join(', ')} names "${id}"`;
-      throw new CommandFailure('explain', files.join(', '), message, exitCodes.failure);
+      throw new CommandFailure('explain-logs', files.join(', '), message, exitCodes.failure);
     }
     story.forEach(print);
   });
