--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -24,10 +24,13 @@
 /** Kept free at the end of the grace period. */
 const shutdownMarginMs = 700;
 /** The holder's proof reaches the others by its age later, so it is renewed more often. */
-const holderPlanWaitMs = 1_000;
+const holderPlanWaitMs = 500;
 const planWaitMs = 1_500;
-/** Told proof is younger than this while the holder reaches the store. */
-const ownPlanAgeMs = 3_000;
+/**
+ * Told proof is younger than this while the holder reaches the store: twice its wait, and a check-in. A plan must
+ * be in force within 2 s, also where only the holder is cut off.
+ */
+const ownPlanAgeMs = 1_700;
 /** How long a daemon that starts waits for the holder before it asks the store itself. */
 const startWaitMs = 900;
 const msPerSecond = 1_000;
