--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -26,6 +26,10 @@
 /** The holder's proof reaches the others by its age later, so it is renewed more often. */
 const holderPlanWaitMs = 500;
 const planWaitMs = 1_500;
+const holderListWaitMs = 500;
+const listWaitMs = 2_000;
+/** As for the plan: a leaving target gets nothing new after 2 s, also where only the holder is cut off. */
+const ownListAgeMs = 1_700;
 /**
  * Told proof is younger than this while the holder reaches the store: twice its wait, and a check-in. A plan must
  * be in force within 2 s, also where only the holder is cut off.
@@ -158,7 +162,11 @@
       source: owner.resolve(relayTokens.platform).targetSource,
       spacingMs: () => (isHolder() ? holderListSpacingMs : targetListSpacingMs),
       listId: runId,
-      follows: () => isHolder() || (hasWaited() && !news.isFresh()),
+      follows: () => {
+        const isTold = news.isFresh() && owner.resolve(relayTokens.targets).ageMs() <= ownListAgeMs;
+        return isHolder() || (hasWaited() && !isTold);
+      },
+      watchWaitMs: () => (isHolder() ? holderListWaitMs : listWaitMs),
     }),
   );
   register(relayTokens.lease, (owner) =>
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -64,6 +64,8 @@
   readonly listId: string;
   /** Whether this daemon follows the list at the store itself; always when left out. */
   readonly follows?: () => boolean;
+  /** How long a watch waits; the proof is at most twice this old, and the time of a call. */
+  readonly watchWaitMs?: () => number;
 }
 
 const watchWaitMs = 2_000;
@@ -175,7 +177,7 @@
     client: options.client,
     clock,
     kind: source.kind,
-    waitMs: () => watchWaitMs,
+    waitMs: options.watchWaitMs ?? (() => watchWaitMs),
     follows: () => options.follows?.() ?? true,
     spacingMs: options.spacingMs,
     maxRetryMs,
