Read the loads of other daemons once a choice, and state told moments in one place

The holder summed the loads of all daemons anew for every candidate of every request. The moment that lies some age before another was written out in the plan keeper and in the target list.

--- a/packages/clock/src/Moment.ts
+++ b/packages/clock/src/Moment.ts
@@ -18,3 +18,9 @@
  */
 export const maxElapsedMs = (clock: Clock, moment: Moment): number =>
   Math.max(clock.monotonicMs() - moment.monotonicMs, clock.wallMs() - moment.wallMs);
+
+/** Gives the moment that lies `durationMs` before another one, by both clocks. */
+export const momentBefore = (moment: Moment, durationMs: number): Moment => ({
+  monotonicMs: moment.monotonicMs - durationMs,
+  wallMs: moment.wallMs - durationMs,
+});
--- a/packages/fleet/src/createPlanKeeper.ts
+++ b/packages/fleet/src/createPlanKeeper.ts
@@ -145,10 +145,7 @@
         return;
       }
       if (shared.revision < plan.revision) return;
-      prove({
-        monotonicMs: askedAt.monotonicMs - shared.ageMs,
-        wallMs: askedAt.wallMs - shared.ageMs,
-      });
+      prove(clocks.momentBefore(askedAt, shared.ageMs));
     },
     ensureFresh: async (maxAgeMs) => {
       if (ageMs() <= maxAgeMs) return true;
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -230,16 +230,13 @@
     },
     cursor: () => cursor,
     takeShared: (shared, askedAt) => {
-      const isOlder =
-        provedAt !== undefined && askedAt.monotonicMs - shared.ageMs < provedAt.monotonicMs;
+      const toldAt = clocks.momentBefore(askedAt, shared.ageMs);
+      const isOlder = provedAt !== undefined && toldAt.monotonicMs < provedAt.monotonicMs;
       // What this daemon has read itself since then is newer.
       if (isOlder && cursor === undefined) return;
       cursor = shared.cursor;
       known = true;
-      provedAt = {
-        monotonicMs: askedAt.monotonicMs - shared.ageMs,
-        wallMs: askedAt.wallMs - shared.ageMs,
-      };
+      provedAt = toldAt;
       const kept = new Set(shared.changed.map(({ target }) => target.id));
       const removed = shared.isWhole
         ? [...targets.keys()].filter((id) => !kept.has(id))
--- a/packages/relay/src/chooseTarget.ts
+++ b/packages/relay/src/chooseTarget.ts
@@ -45,10 +45,10 @@
 
 const costOf = (candidate: Candidate, options: ChoiceOptions): number => {
   const { evidence, isSameDomain } = candidate;
-  const load = loadOf(candidate);
+  const slowness = slownessOf(candidate);
   return (
-    load * slownessOf(candidate) +
-    (slownessOf(candidate) - 1) +
+    loadOf(candidate) * slowness +
+    (slowness - 1) +
     evidence.failureShare * failureCost +
     (isSameDomain ? 0 : otherDomainCost) +
     options.random() * tieBreak
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -63,6 +63,7 @@
   const toCandidate = (
     target: fleet.Target,
     facts: Pick<Candidate, 'groupKey' | 'slots' | 'expectedMs'>,
+    otherLoads: Readonly<Record<string, number>>,
     nowMs: number,
   ): Candidate => {
     const key = fleet.runKeyOf(target);
@@ -71,7 +72,7 @@
       key,
       targetId: target.id,
       address: target.address,
-      otherInFlight: options.otherLoads()[key] ?? 0,
+      otherInFlight: otherLoads[key] ?? 0,
       isSameDomain: target.failureDomain === failureDomain,
       evidence: board.read(key, nowMs),
     };
@@ -81,6 +82,7 @@
     groupHeads: (service, modelName, nowMs) => {
       const { engine } = service;
       if (engine === undefined) return [];
+      const otherLoads = options.otherLoads();
       return currentGroups().flatMap((group) => {
         if (modelName !== undefined && group.modelName !== modelName) return [];
         const model = findModel(service, group.modelName);
@@ -90,17 +92,19 @@
           slots: engine.slotsPerGroup,
           expectedMs: expectedGapMs(engine, model),
         };
-        return [toCandidate(group.head!, facts, nowMs)];
+        return [toCandidate(group.head!, facts, otherLoads, nowMs)];
       });
     },
     loneTargets: (service, nowMs) => {
       currentGroups();
+      const otherLoads = options.otherLoads();
       return [...targets.all().values()]
         .filter(({ serviceName, state }) => serviceName === service.name && state === 'live')
         .map((target) =>
           toCandidate(
             target,
             { groupKey: undefined, slots: target.slots, expectedMs: expectedAnswerMs },
+            otherLoads,
             nowMs,
           ),
         );
