Let the list of targets give its groups, worked out once a change

Formation on every step, each check of members and the directory collected them anew; the directory kept a cache of its own. A cause, an option and a count that nobody used go. No change of behaviour; tests of fleet, formation, object-store and relay pass.

--- a/packages/fleet/src/createPlanKeeper.ts
+++ b/packages/fleet/src/createPlanKeeper.ts
@@ -39,7 +39,6 @@
   readonly log: telemetry.Log;
   readonly source: PlanSource;
   readonly random: () => number;
-  readonly onChange?: (plan: TrafficPlan) => void;
   /** Whether this daemon follows the plan at the store itself; always when left out. */
   readonly follows?: () => boolean;
   /** How long a watch waits; the proof is at most twice this old, and the time of a call. */
@@ -80,7 +79,6 @@
       'traffic plan in force',
     );
     plan = next;
-    options.onChange?.(next);
   };
 
   const prove = (moment: clocks.Moment) => {
@@ -105,7 +103,7 @@
     clock,
     kind: source.key.kind,
     waitMs: options.watchWaitMs ?? (() => defaultWatchWaitMs),
-    follows: () => options.follows?.() ?? true,
+    follows: options.follows,
     spacingMs: () => 0,
     maxRetryMs,
     random: options.random,
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -3,6 +3,7 @@
 import type * as lifecycle from '@comfreydrum/lifecycle';
 import * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
+import { groupsOf, type Group } from './Group';
 import type { Target } from './Target';
 
 /** Where targets register themselves, and how an entry is read. */
@@ -35,6 +36,8 @@
 /** Holds the targets that are registered in the store. */
 export interface TargetList {
   readonly all: () => ReadonlyMap<string, Target>;
+  /** Gives the groups that the targets report; worked out once a change. */
+  readonly groups: () => readonly Group[];
   /** Rises with each change. */
   readonly version: () => number;
   /** Gives for how long at most the list may be out of date; infinite before it was read. */
@@ -92,6 +95,7 @@
   const changedAtCount = new Map<string, number>();
   const removedAtCount = new Map<string, number>();
   let cursor: ListCursor | undefined;
+  let groups: readonly Group[] | undefined;
   let version = 0;
   let known = false;
   let following: Promise<void> = Promise.resolve();
@@ -110,6 +114,7 @@
 
   const changed = () => {
     version += 1;
+    groups = undefined;
     listeners.forEach((listener) => listener());
   };
 
@@ -178,7 +183,7 @@
     clock,
     kind: source.kind,
     waitMs: options.watchWaitMs ?? (() => watchWaitMs),
-    follows: () => options.follows?.() ?? true,
+    follows: options.follows,
     spacingMs: options.spacingMs,
     maxRetryMs,
     random: options.random,
@@ -205,6 +210,10 @@
 
   return {
     all: () => targets,
+    groups: () => {
+      groups ??= groupsOf(targets.values());
+      return groups;
+    },
     version: () => version,
     ageMs: () => (provedAt === undefined ? Infinity : clocks.maxElapsedMs(clock, provedAt)),
     isKnown: () => known,
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -207,7 +207,7 @@
   };
 
   step = () => {
-    headCheck.learn(fleet.groupsOf(targets.all().values()));
+    headCheck.learn(targets.groups());
     const state = lease.state();
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
--- a/packages/formation/src/createMemberCheck.ts
+++ b/packages/formation/src/createMemberCheck.ts
@@ -1,5 +1,5 @@
 import type * as clocks from '@comfreydrum/clock';
-import * as fleet from '@comfreydrum/fleet';
+import type * as fleet from '@comfreydrum/fleet';
 import type { TargetOrders } from './TargetOrders';
 
 /** Asks the members of a silent group whether they are there. */
@@ -31,7 +31,7 @@
   const checks = new Map<string, Check>();
 
   const ask = async (groupKey: string): Promise<readonly string[]> => {
-    const group = fleet.groupsOf(targets.all().values()).find(({ key }) => key === groupKey);
+    const group = targets.groups().find(({ key }) => key === groupKey);
     const answers = await Promise.all(
       (group?.members ?? []).map(async (member) => {
         const { ok } = await orders.probe(member, probeTimeoutMs);
--- a/packages/object-store/src/createKindFollower.ts
+++ b/packages/object-store/src/createKindFollower.ts
@@ -11,7 +11,7 @@
   /** How long a watch waits at the store for a change. */
   readonly waitMs: () => number;
   /** Whether to call the store now; while not, nothing is known of what it holds. */
-  readonly follows?: () => boolean;
+  readonly follows?: (() => boolean) | undefined;
   /** The least time between the starts of two calls, so that changes in a burst share one. */
   readonly spacingMs: () => number;
   /** The longest pause after a failed call; the pause is drawn at random below it. */
--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -13,7 +13,6 @@
   | 'overload'
   | 'targets-refused'
   | 'target-failed'
-  | 'retry-budget-spent'
   | 'timeout'
   | 'internal';
 
--- a/packages/relay/src/createFront.ts
+++ b/packages/relay/src/createFront.ts
@@ -9,7 +9,6 @@
 /** The listener for callers. */
 export interface Front {
   readonly part: lifecycle.Part;
-  readonly openRequestCount: () => number;
   readonly isDraining: () => boolean;
   readonly hasSeenCallers: () => boolean;
   /** Stops being ready and asks callers to go elsewhere; requests are served as before. */
@@ -79,7 +78,6 @@
   };
 
   return {
-    openRequestCount: () => openRequestCount,
     isDraining: () => draining,
     hasSeenCallers: () => seenCallers,
     drain,
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -49,15 +49,13 @@
 /** Creates a directory over the list of targets. */
 export const createTargetDirectory = (options: TargetDirectoryOptions): TargetDirectory => {
   const { targets, board, failureDomain } = options;
-  let readVersion = -1;
-  let groups: readonly fleet.Group[] = [];
+  let retainedVersion = -1;
 
-  const currentGroups = () => {
-    if (readVersion === targets.version()) return groups;
-    readVersion = targets.version();
-    groups = fleet.groupsOf(targets.all().values());
+  /** Drops what the board knows of targets that are no longer listed. */
+  const forgetGone = () => {
+    if (retainedVersion === targets.version()) return;
+    retainedVersion = targets.version();
     board.retain(new Set([...targets.all().values()].map(fleet.runKeyOf)));
-    return groups;
   };
 
   const toCandidate = (
@@ -83,7 +81,8 @@
       const { engine } = service;
       if (engine === undefined) return [];
       const otherLoads = options.otherLoads();
-      return currentGroups().flatMap((group) => {
+      forgetGone();
+      return targets.groups().flatMap((group) => {
         if (modelName !== undefined && group.modelName !== modelName) return [];
         const model = findModel(service, group.modelName);
         if (model === undefined || !isServing(group, service)) return [];
@@ -96,7 +95,7 @@
       });
     },
     loneTargets: (service, nowMs) => {
-      currentGroups();
+      forgetGone();
       const otherLoads = options.otherLoads();
       return [...targets.all().values()]
         .filter(({ serviceName, state }) => serviceName === service.name && state === 'live')
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import * as clocks from '@comfreydrum/clock';
-import type * as fleet from '@comfreydrum/fleet';
+import * as fleet from '@comfreydrum/fleet';
 import * as telemetry from '@comfreydrum/telemetry';
 import * as relay from '../index';
 
@@ -203,6 +203,7 @@
     },
     targets: {
       all: () => targets,
+      groups: () => fleet.groupsOf(targets.values()),
       version: () => 1,
       ageMs: () => 0,
       isKnown: () => true,
