--- a/apps/comfreydrumd/src/relay/createTextListener.ts
+++ b/apps/comfreydrumd/src/relay/createTextListener.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as lifecycle from '@comfreydrum/lifecycle';
 import * as peers from '@comfreydrum/peers';
 
 /** An answer in plain text. */
@@ -26,15 +26,7 @@
 
   return {
     name,
-    start: () =>
-      new Promise((resolve, reject) => {
-        const { host, port } = peers.parseAddress(listen);
-        server.once('error', reject);
-        server.listen(port, host, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      }),
+    start: () => lifecycle.listen(server, peers.parseAddress(listen)),
     stop: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/admin/src/createAdmin.ts
+++ b/packages/admin/src/createAdmin.ts
@@ -2,7 +2,7 @@
 import * as https from 'node:https';
 import * as tinyhttp from '@tinyhttp/app';
 import * as errors from '@comfreydrum/errors';
-import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as lifecycle from '@comfreydrum/lifecycle';
 import * as telemetry from '@comfreydrum/telemetry';
 import { addConfigurationRoutes } from './addConfigurationRoutes';
 import { addFleetRoutes } from './addFleetRoutes';
@@ -48,14 +48,7 @@
 
   return {
     name: 'admin',
-    start: () =>
-      new Promise<void>((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(listen.port, listen.host, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      }),
+    start: () => lifecycle.listen(server, listen),
     stop: () =>
       new Promise<void>((resolve) => {
         server.close(() => resolve());
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -5,7 +5,7 @@
 import * as errors from '@comfreydrum/errors';
 import * as routing from '@comfreydrum/routing';
 import * as telemetry from '@comfreydrum/telemetry';
-import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as lifecycle from '@comfreydrum/lifecycle';
 import * as targetClient from '@comfreydrum/target-client';
 import { createCacheWatch } from './createCacheWatch';
 import { createCallerDirectory } from './createCallerDirectory';
@@ -120,16 +120,11 @@
     inFlight.abortGroup(groupId, generation, reason);
   });
 
-  const start = () =>
-    new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(listen.port, listen.host, () => {
-        server.off('error', reject);
-        customers.start();
-        caches.start();
-        resolve();
-      });
-    });
+  const start = async () => {
+    await lifecycle.listen(server, listen);
+    customers.start();
+    caches.start();
+  };
 
   const stop = async () => {
     draining = true;
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,2 +1,3 @@
 export type { Lifecycle, Part } from './createLifecycle';
 export { createLifecycle } from './createLifecycle';
+export { listen } from './listen';
--- a/packages/peers/src/createHttpPeerCalls.ts
+++ b/packages/peers/src/createHttpPeerCalls.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
+import * as lifecycle from '@comfreydrum/lifecycle';
 import * as rpc from 'json-rpc-2.0';
 import * as undici from 'undici';
 import { decodeBody, encodeBody, maxBodyBytes } from './bodyEncoding';
@@ -192,15 +193,7 @@
         return result === undefined ? null : result;
       });
     },
-    open: () =>
-      new Promise((resolve, reject) => {
-        const { host, port } = parseAddress(options.listen);
-        server.once('error', reject);
-        server.listen(port, host, () => {
-          server.removeListener('error', reject);
-          resolve();
-        });
-      }),
+    open: () => lifecycle.listen(server, parseAddress(options.listen)),
     close: async () => {
       await agent.destroy();
       await new Promise<void>((resolve) => {
--- a/packages/relay/src/createFront.ts
+++ b/packages/relay/src/createFront.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import * as tinyhttp from '@tinyhttp/app';
 import * as errors from '@comfreydrum/errors';
-import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as lifecycle from '@comfreydrum/lifecycle';
 import type { RelayParts } from './RelayParts';
 import { serveRequest } from './serveRequest';
 
@@ -83,14 +83,7 @@
     drain,
     part: {
       name: 'front',
-      start: () =>
-        new Promise((resolve, reject) => {
-          server.once('error', reject);
-          server.listen(options.port, options.host, () => {
-            server.off('error', reject);
-            resolve();
-          });
-        }),
+      start: () => lifecycle.listen(server, options),
       stop: async () => {
         drain();
         const startedAtMs = clock.monotonicMs();
