--- a/packages/fleet/src/Target.ts
+++ b/packages/fleet/src/Target.ts
@@ -1,5 +1,7 @@
-/** The state of a member of a group, as the member reports it. */
-export type MembershipState = 'joining' | 'ready' | 'open' | 'closing' | 'broken';
+/** The states of a member of a group, as the member reports them. */
+export const membershipStates = ['joining', 'ready', 'open', 'closing', 'broken'] as const;
+
+export type MembershipState = (typeof membershipStates)[number];
 
 /** A target's place in a group. */
 export interface GroupMembership {
--- a/packages/fleet/src/createFleetNews.ts
+++ b/packages/fleet/src/createFleetNews.ts
@@ -2,6 +2,7 @@
 import * as zod from 'zod';
 import type { PlanKeeper } from './createPlanKeeper';
 import type { TargetList } from './createTargetList';
+import { membershipStates } from './Target';
 
 /**
  * Passes what one daemon reads at the store on to the others, so that the calls to the store do not grow
@@ -47,7 +48,7 @@
       groupName: zod.string(),
       epoch: zod.number(),
       rank: zod.number(),
-      state: zod.enum(['joining', 'ready', 'open', 'closing', 'broken']),
+      state: zod.enum(membershipStates),
     })
     .optional(),
 });
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -30,8 +30,14 @@
   readonly onChange: () => void;
 }
 
+/** What is known of the head of one group. */
 interface Head {
-  readonly target: fleet.Target;
+  /** Undefined until the list has shown it. */
+  readonly target: fleet.Target | undefined;
+  /** When the group appeared; undefined for one that was there when this daemon began to follow the list. */
+  readonly appearedAtMs: number | undefined;
+  /** Since when it is asked whether a head that was never seen is gone. */
+  readonly askedSinceMs: number | undefined;
   readonly seenAtMs: number;
   readonly checkedAtMs: number;
   readonly checking: boolean;
@@ -82,10 +88,6 @@
 export const createHeadCheck = (options: HeadCheckOptions): HeadCheck => {
   const { clock, log, orders, calls } = options;
   const heads = new Map<string, Head>();
-  const unknownSinceMs = new Map<string, number>();
-  /** Groups that appeared while this daemon followed the list, with the time of that. */
-  const appearedAtMs = new Map<string, number>();
-  const known = new Set<string>();
   let hasLearned = false;
 
   const reach = async (target: fleet.Target): Promise<boolean> => {
@@ -112,7 +114,7 @@
     if (head !== undefined) heads.set(groupKey, { ...head, ...change });
   };
 
-  const check = async (groupKey: string, { target }: Head) => {
+  const check = async (groupKey: string, target: fleet.Target) => {
     update(groupKey, { checking: true });
     const asked = options.peerAddresses().slice(0, maxAskedPeers);
     const [own, ...others] = await Promise.all([
@@ -142,37 +144,32 @@
 
   const isUnknownHeadGone = (groupKey: string): boolean => {
     const nowMs = clock.monotonicMs();
-    const sinceMs = unknownSinceMs.get(groupKey) ?? nowMs;
-    unknownSinceMs.set(groupKey, sinceMs);
+    const sinceMs = heads.get(groupKey)?.askedSinceMs ?? nowMs;
+    update(groupKey, { askedSinceMs: sinceMs });
     return nowMs - sinceMs >= unknownHeadWaitMs;
   };
 
   /** A head is ordered to open only once the list shows it, so one that never joined never opened. */
   const neverHadHead = (groupKey: string): boolean => {
-    const atMs = appearedAtMs.get(groupKey);
+    const atMs = heads.get(groupKey)?.appearedAtMs;
     return atMs !== undefined && clock.monotonicMs() - atMs >= headJoinMs;
   };
 
   return {
     learn: (groups) => {
       const nowMs = clock.monotonicMs();
-      groups.forEach(({ key }) => {
-        if (hasLearned && !known.has(key)) appearedAtMs.set(key, nowMs);
-        known.add(key);
-      });
-      hasLearned ||= groups.length > 0;
       groups.forEach(({ key, head }) => {
-        if (heads.has(key)) update(key, { seenAtMs: nowMs });
-        else if (head !== undefined) {
-          heads.set(key, {
-            target: head,
-            seenAtMs: nowMs,
-            checkedAtMs: -Infinity,
-            checking: false,
-            gone: false,
-          });
-        }
+        const known = heads.get(key) ?? {
+          target: undefined,
+          appearedAtMs: hasLearned ? nowMs : undefined,
+          askedSinceMs: undefined,
+          checkedAtMs: -Infinity,
+          checking: false,
+          gone: false,
+        };
+        heads.set(key, { ...known, target: known.target ?? head, seenAtMs: nowMs });
       });
+      hasLearned ||= groups.length > 0;
       heads.forEach(({ seenAtMs }, key) => {
         if (nowMs - seenAtMs > forgottenAfterMs) heads.delete(key);
       });
@@ -187,10 +184,10 @@
     },
     isGone: ({ key }) => {
       const head = heads.get(key);
-      if (head === undefined) return isUnknownHeadGone(key);
+      if (head?.target === undefined) return isUnknownHeadGone(key);
       if (head.gone) return true;
       if (!head.checking && clock.monotonicMs() - head.checkedAtMs >= recheckMs) {
-        void check(key, head);
+        void check(key, head.target);
       }
       return false;
     },
