Name the platform's variable of the settings file in the adapter

packages/settings knew a name of the operators' wire; it is now told which variable names the file. The test keeps its assertion and tells it too.

--- a/apps/comfreydrumd/src/main.ts
+++ b/apps/comfreydrumd/src/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import * as errors from '@comfreydrum/errors';
+import * as operatorsPlatform from '@comfreydrum/operators-platform/settingsFileVariable';
 import * as settings from '@comfreydrum/settings';
 import * as commander from 'commander';
 
@@ -14,12 +15,15 @@
 
 const settingsOption = () =>
   new commander.Option('--settings <file>', 'JSON file with the settings of this instance')
-    .env(settings.settingsFileVariable)
+    .env(operatorsPlatform.settingsFileVariable)
     .makeOptionMandatory();
 
 const checkOption = () =>
   new commander.Option('--check', 'check the settings and exit').default(false);
 
+const loadServeSettings = (file: string) =>
+  settings.loadSettings(file, process.env, operatorsPlatform.settingsFileVariable);
+
 /** Loads the settings, and runs the daemon unless they are only to be checked. */
 const start = async <Loaded>(
   { settings: file, check }: Options,
@@ -51,7 +55,7 @@
   .addOption(settingsOption())
   .addOption(checkOption())
   .action((options: Options) =>
-    start(options, settings.loadSettings, async (loaded) => {
+    start(options, loadServeSettings, async (loaded) => {
       const { runDaemon } = await import('./runDaemon');
       await runDaemon(loaded);
     }),
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,6 +1,6 @@
 export { ledgerSettingsSchema, type LedgerSettings } from './ledgerSettingsSchema';
 export { loadRelaySettings } from './loadRelaySettings';
-export { loadSettings, settingsFileVariable } from './loadSettings';
+export { loadSettings } from './loadSettings';
 export type { SettingsFailure } from './readSettingsFile';
 export { readTls, type TlsFailure, type TlsFiles, type TlsMaterial } from './readTls';
 export { readTokens, type TokenFailure, type TokenFault } from './readTokens';
--- a/packages/settings/src/loadSettings.test.ts
+++ b/packages/settings/src/loadSettings.test.ts
@@ -23,10 +23,10 @@
 
 test.after.each((context) => rm(context.folder, { recursive: true }));
 
-const load = async (folder: string, text: string, environment = {}) => {
+const load = async (folder: string, text: string, environment = {}, fileVariable?: string) => {
   const file = join(folder, 'settings.json');
   await writeFile(file, text);
-  return settings.loadSettings(file, environment);
+  return settings.loadSettings(file, environment, fileVariable);
 };
 
 test('fills in defaults', async ({ folder }) => {
@@ -36,10 +36,11 @@
 });
 
 test('takes the variable that names the file for no override', async ({ folder }) => {
-  const result = await load(folder, JSON.stringify(valid), {
-    COMFREYDRUM_CONFIG: '/etc/comfreydrum/local.json',
+  const environment = {
+    COMFREYDRUM_FILE: '/etc/comfreydrum/local.json',
     COMFREYDRUM_log__level: 'debug',
-  });
+  };
+  const result = await load(folder, JSON.stringify(valid), environment, 'COMFREYDRUM_FILE');
   assert.is(result.ok && result.value.log.level, 'debug');
 });
 
--- a/packages/settings/src/loadSettings.ts
+++ b/packages/settings/src/loadSettings.ts
@@ -5,8 +5,6 @@
 import { settingsSchema, type Settings } from './settingsSchema';
 
 const overridePrefix = 'COMFREYDRUM_';
-/** Names the settings file itself, so it overrides none of its fields. */
-export const settingsFileVariable = 'COMFREYDRUM_CONFIG';
 
 const parseOverride = (text: string): unknown => {
   try {
@@ -31,11 +29,15 @@
   return { ...record, [field]: withOverride(record[field], rest, value) };
 };
 
-const applyEnvironment = (document: unknown, environment: NodeJS.ProcessEnv): unknown =>
+const applyEnvironment = (
+  document: unknown,
+  environment: NodeJS.ProcessEnv,
+  fileVariable: string | undefined,
+): unknown =>
   Object.entries(environment)
     .filter(
       ([name, value]) =>
-        name.startsWith(overridePrefix) && name !== settingsFileVariable && value !== undefined,
+        name.startsWith(overridePrefix) && name !== fileVariable && value !== undefined,
     )
     .reduce(
       (merged, [name, value]) =>
@@ -60,15 +62,17 @@
 /**
  * Reads a settings file, lays `COMFREYDRUM_<path>` variables over it and checks the whole with the
  * files of TLS and tokens that it names; `__` separates the names of a path, as in `COMFREYDRUM_log__level=debug`.
+ * The variable `fileVariable` names the file itself and overrides nothing.
  */
 export const loadSettings = async (
   file: string,
   environment: NodeJS.ProcessEnv = process.env,
+  fileVariable?: string,
 ): Promise<errors.Result<Settings, SettingsFailure>> => {
   const read = await readSettingsFile(file);
   if (!read.ok) return read;
 
-  const checked = settingsSchema.safeParse(applyEnvironment(read.value, environment));
+  const checked = settingsSchema.safeParse(applyEnvironment(read.value, environment, fileVariable));
   const faults = checked.success
     ? [...findTlsFaults(checked.data), ...findTokenFaults(checked.data)]
     : errors.describeIssues(checked.error.issues);
