Explain streams of the first group of a new version, which have nowhere to go on

The check took the killed group itself, and the groups that took the version seconds later, for places where they could have gone on. Ruled out: a group of the version that stood (none in any sample from the kill to the end of the stream). Replaced by a check as strict: a stream is explained only where no other group of its version served in any sample until it ended, or where none did any more afterwards; the violation now prints what it rests on. The product could let such a stream wait for the next group of its version; left open.

--- /dev/null
+++ b/proofs/rolling-change/checkStreams.test.ts
@@ -0,0 +1,74 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import type * as testing from '@comfreydrum/testing';
+import type { GroupInForce } from '../missing-member/groupsInForce';
+import type { LoadResult } from '../support/createLoad';
+import { checkStream } from './checkStreams';
+import type { Strike } from './strike';
+
+const test = uvu.suite('checkStreams');
+const struckAtMs = 10_000;
+
+const groupOf = (groupId: string, modelVersion: string): GroupInForce => ({
+  groupId,
+  generation: 1,
+  phase: 'serving',
+  modelVersion,
+  memberIds: [],
+});
+
+const killed = groupOf('killed', '2');
+const struck: Strike = { atMs: struckAtMs, group: killed };
+const served = [
+  {
+    requestId: 'request-1',
+    groupId: 'killed',
+    modelVersion: '2',
+    startedAtMs: struckAtMs - 500,
+  } as testing.ServedRequest,
+];
+
+/** A stream that ran on the killed group and ended in an error 50 ms after the kill. */
+const broken = {
+  daemonId: 'entry-1',
+  prompt: 'plan',
+  maxTokens: 8,
+  startedAtMs: struckAtMs - 500,
+  outcome: {
+    end: 'error-event',
+    requestId: 'request-1',
+    text: '',
+    tokenCount: 0,
+    tokenIndexes: [] as readonly number[],
+    error: 'gone',
+    durationMs: 550,
+  },
+} as LoadResult;
+
+const samplerOf = (others: readonly GroupInForce[], lastServedAtMs: number) => ({
+  lastServedAtMs: () => lastServedAtMs,
+  servingBetween: () => [killed, ...others],
+});
+
+test('a stream of the first group of a new version has nowhere to go on', () => {
+  const later = struckAtMs + 5_000;
+  assert.equal(checkStream(broken, struck, served, samplerOf([], later)), []);
+});
+
+test('a stream that could have gone on at another group of its version is a fault', () => {
+  const later = struckAtMs + 5_000;
+  const faults = checkStream(broken, struck, served, samplerOf([groupOf('other', '2')], later));
+  assert.is(faults.length, 1);
+  assert.match(faults[0]!, 'others of its version that served meanwhile: other@1 v2');
+});
+
+test('a stream whose version went while it waited is explained', () => {
+  const sampler = samplerOf([groupOf('other', '2')], struckAtMs + 40);
+  assert.equal(checkStream(broken, struck, served, sampler), []);
+});
+
+test('a stream that never ran on the killed group is a fault', () => {
+  assert.is(checkStream(broken, struck, [], samplerOf([], struckAtMs + 5_000)).length, 1);
+});
+
+test.run();
