Give every model fabric domains also while targets still register

Four domains of about 13 targets showed fewer than the 8 targets of the large model's group when the models were assigned, so its capacity counted as none however many domains it had, and it got all of them. Parts of a group count now, and a model without a domain gets one from a model that has several. Ruled out: loads (10 of 37 at once), lost orders (12 of 255 refused). Tests: two, red before.

--- a/packages/formation/src/assignModels.test.ts
+++ b/packages/formation/src/assignModels.test.ts
@@ -57,4 +57,33 @@
   assert.is(assigned.get('a2'), 'large');
 });
 
+const unequalModels = [
+  { name: 'large', groupSize: 16, paceFactor: 1, demandShare: 0.5 },
+  { name: 'small', groupSize: 4, paceFactor: 0.6, demandShare: 0.5 },
+].map((model) => ({ ...model, loadMs: 16_000, stagedJoinMs: 1_600 }));
+
+test('gives every model a domain while none shows enough targets for a group of the largest', () => {
+  const names = ['a1', 'b1', 'c1', 'd1'];
+  const assigned = assignModels(
+    names.map((name) => domain(name, 3)),
+    unequalModels,
+  );
+  assert.equal([...new Set(assigned.values())].sort(), ['large', 'small']);
+});
+
+test('frees a domain for a model that no domain serves', () => {
+  const allLarge = ['a1', 'b1', 'c1'].map((name) =>
+    domain(
+      name,
+      37,
+      Array.from({ length: 37 }, () => 'large'),
+    ),
+  );
+  const assigned = assignModels(allLarge, unequalModels);
+  const counts = [...assigned.values()].filter((name) => name === 'small').length;
+  assert.is(counts, 1);
+  const again = assignModels(allLarge, unequalModels, assigned);
+  assert.equal([...again], [...assigned]);
+});
+
 test.run();
--- a/packages/formation/src/assignModels.ts
+++ b/packages/formation/src/assignModels.ts
@@ -20,9 +20,12 @@
     ...loadedModels,
   ]);
 
-/** What one domain of the usual size adds to the work that can be done for a model. */
+/**
+ * What one domain of the usual size adds to the work that can be done for a model. Parts of a group count:
+ * while targets still register no domain may hold a whole group of the largest model.
+ */
 const capacityOf = (targetCount: number, model: fleet.ServedModel): number =>
-  Math.floor(targetCount / model.groupSize) / model.paceFactor;
+  targetCount / model.groupSize / model.paceFactor;
 
 const findWarmest = (
   domain: FabricDomain,
@@ -37,7 +40,8 @@
  * Assigns one model to each fabric domain, so that the survivors of two broken groups of a domain make
  * one whole group without a load. A domain keeps the model that most of its targets hold; the others go
  * to the model with the least capacity for its demand, first within their failure domain. What was
- * assigned before stands until targets hold other weights, as domains appear one after the other.
+ * assigned before stands until targets hold other weights, as domains appear one after the other. No
+ * model is left without a domain while another has several.
  */
 export const assignModels = (
   domains: readonly FabricDomain[],
@@ -76,5 +80,23 @@
       if (next !== undefined) assigned.set(name, next);
     });
 
+  const countDomains = (model: fleet.ServedModel) =>
+    [...assigned.values()].filter((other) => other === model).length;
+
+  /** Gives a domain of the model with the most to spare to a model that has none. */
+  const freeDomainFor = (needy: fleet.ServedModel) => {
+    const [donor] = models
+      .filter((model) => countDomains(model) > 1)
+      .sort((one, other) => capacity(other, undefined) - capacity(one, undefined));
+    const candidates = domains
+      .map(({ name }) => name)
+      .filter((name) => assigned.get(name) === donor)
+      .sort();
+    const chosen = candidates.find((name) => before.get(name) === needy.name) ?? candidates[0];
+    if (donor !== undefined && chosen !== undefined) assigned.set(chosen, needy);
+  };
+
+  models.filter((model) => countDomains(model) === 0).forEach(freeDomainFor);
+
   return new Map([...assigned].map(([name, model]) => [name, model.name]));
 };
