Log how old the list of targets is, and where it comes from

Each request's line now carries the age of the list, and the list tells when it changes over between the store and another daemon, and when the store is lost.

--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -102,6 +102,19 @@
   let answeredAtMs = clock.monotonicMs();
   let backAtMs = -Infinity;
   let provedAt: clocks.Moment | undefined;
+  let isFailing = false;
+  /** Where the state of the list was last taken from, for the log. */
+  let origin: 'store' | 'daemon' | undefined;
+
+  const ageMs = () => (provedAt === undefined ? Infinity : clocks.maxElapsedMs(clock, provedAt));
+
+  const noteOrigin = (next: 'store' | 'daemon') => {
+    if (origin !== next) {
+      const facts = { step: 'target list', origin: next, listAgeMs: Math.round(ageMs()) };
+      log.info(facts, next === 'store' ? 'list read at the store' : 'list told by another daemon');
+    }
+    origin = next;
+  };
 
   const noteEntry = (id: string) => {
     const isThere = targets.has(id);
@@ -203,9 +216,16 @@
       if (removedCount + takenCount > 0) changed();
     },
     onCurrent: (moment) => {
+      noteOrigin('store');
       provedAt = moment;
+      if (isFailing) log.info({ step: 'target list', peer: 'store' }, 'store reached again');
+      isFailing = false;
+    },
+    onFailure: ({ kind, step, peer, message }) => {
+      if (kind === 'expired') return;
+      if (!isFailing) log.warn({ step, peer, kind, listAgeMs: Math.round(ageMs()) }, message);
+      isFailing = true;
     },
-    onFailure: ({ kind, step, peer, message }) => log.debug({ step, peer, kind }, message),
   });
 
   return {
@@ -215,7 +235,7 @@
       return groups;
     },
     version: () => version,
-    ageMs: () => (provedAt === undefined ? Infinity : clocks.maxElapsedMs(clock, provedAt)),
+    ageMs,
     isKnown: () => known,
     onChange: (listener) => {
       listeners.add(listener);
@@ -228,7 +248,7 @@
         [...counts].filter(([, count]) => count > sinceCount).map(([id]) => id);
       return {
         cursor: { listId: options.listId, changeCount: version },
-        ageMs: clocks.maxElapsedMs(clock, provedAt),
+        ageMs: ageMs(),
         isWhole: !isKnownState,
         changed: idsAfter(changedAtCount).map((id) => ({
           version: versions.get(id) ?? 0,
@@ -243,6 +263,7 @@
       const isOlder = provedAt !== undefined && toldAt.monotonicMs < provedAt.monotonicMs;
       // What this daemon has read itself since then is newer.
       if (isOlder && cursor === undefined) return;
+      noteOrigin('daemon');
       cursor = shared.cursor;
       known = true;
       provedAt = toldAt;
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -12,6 +12,8 @@
   ) => readonly Candidate[];
   /** Gives the live targets of a service whose targets work alone. */
   readonly loneTargets: (service: fleet.Service, nowMs: number) => readonly Candidate[];
+  /** Gives for how long at most the list of targets may be out of date. */
+  readonly ageMs: () => number;
 }
 
 /** What finding targets needs. */
@@ -77,6 +79,7 @@
   };
 
   return {
+    ageMs: targets.ageMs,
     groupHeads: (service, modelName, nowMs) => {
       const { engine } = service;
       if (engine === undefined) return [];
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -133,6 +133,7 @@
   const { log, callerWire, clock } = parts;
   const arrivedAtMs = clock.monotonicMs();
   const request = callerWire.readRequest(message);
+  const listAgeMs = parts.directory.ageMs();
   let result: ServeResult;
   try {
     result = await serve(parts, request, message, response);
@@ -157,6 +158,7 @@
       tookMs: Math.round(clock.monotonicMs() - arrivedAtMs),
       planRevision: plan?.revision,
       planAgeMs: Math.round(parts.plan.ageMs()),
+      listAgeMs: Math.round(listAgeMs),
       ...describe(result),
     },
     'request ended',
