Draw targets by their load, since daemons hear of each other late

Cause: 91 daemons hear of each other's requests about 0.64 s late, as long as a stream runs. A daemon now keeps to its failure domain unless that one is clearly fuller, and draws a head there, the likelier the less it is loaded; the preference is sharp where a daemon's own requests are most of what it knows. Also: a stream that the time limit ends is answered as timed out though the timer fires before the clock shows the deadline; the test of it failed once (502 in place of 504).

--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -30,7 +30,7 @@
 ): Promise<ExchangeResult> => {
   const { board, clock } = parts;
   const sentAtMs = clock.monotonicMs();
-  const timeout = AbortSignal.timeout(Math.max(1, Math.floor(patienceMs)));
+  const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(patienceMs)));
   const signal = AbortSignal.any([timeout, context.callerGone]);
   board.onSend(candidate.key, sentAtMs);
   try {
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -18,7 +18,15 @@
       /** Whether the target left open where the stream ends. */
       readonly isUnframed: boolean;
     }
-  | { readonly kind: 'failed'; readonly failure: SendFailure; readonly wasSilent: boolean };
+  | {
+      readonly kind: 'failed';
+      readonly failure: SendFailure;
+      /** Why this daemon ended the run itself, if it did. */
+      readonly abortedFor: AbortReason | undefined;
+    };
+
+/** Why a daemon ends a run: its target fell silent, or the caller's time is up. */
+export type AbortReason = 'silence' | 'time-limit';
 
 /** One run of a stream at one target. */
 export interface StreamAttempt {
@@ -28,8 +36,15 @@
   readonly mayMove: () => boolean;
 }
 
-/** The cause with which a run is aborted when its target falls silent. */
-class SilenceError extends Error {}
+/** The cause with which this daemon aborts a run. */
+class RunAbortedError extends Error {
+  constructor(
+    readonly abortReason: AbortReason,
+    message: string,
+  ) {
+    super(message);
+  }
+}
 
 /** Tells whether an event is the next one of the stream; events without ids can't be checked. */
 const isNext = ({ id }: StreamEvent, lastEventId: number | undefined): boolean =>
@@ -122,7 +137,8 @@
   const move = (reason: string) => {
     if (abort.signal.aborted || !attempt.mayMove()) return;
     const silentMs = Math.round(parts.clock.monotonicMs() - (lastEventAtMs() ?? sentAtMs));
-    abort.abort(new SilenceError(`${reason}: nothing came for ${silentMs} ms`));
+    const text = `${reason}: nothing came for ${silentMs} ms`;
+    abort.abort(new RunAbortedError('silence', text));
   };
 
   const askMembers = async (groupKey: string) => {
@@ -170,18 +186,18 @@
   const abort = new AbortController();
   const signal = AbortSignal.any([abort.signal, context.callerGone]);
   const deadline = setTimeout(
-    () => abort.abort(new Error('the time limit of the request passed')),
+    () => abort.abort(new RunAbortedError('time-limit', 'the time limit of the request passed')),
     Math.max(0, context.deadlineAtMs - clock.monotonicMs()),
   );
   const stopWatching = watchForSilence(parts, context, attempt, abort);
   board.onSend(candidate.key, clock.monotonicMs());
 
   const fail = (failure: SendFailure): StreamResult => {
-    const { reason } = abort.signal;
-    const wasSilent = reason instanceof SilenceError;
+    const reason: unknown = abort.signal.reason;
+    const abortedFor = reason instanceof RunAbortedError ? reason.abortReason : undefined;
     if (!context.callerGone.aborted) board.onFailure(candidate.key, clock.monotonicMs());
     const message = describeAbort(abort.signal, failure.message);
-    return { kind: 'failed', failure: { ...failure, message }, wasSilent };
+    return { kind: 'failed', failure: { ...failure, message }, abortedFor };
   };
 
   const { eventCount, lastEventId } = progress.read();
--- a/packages/relay/src/chooseTarget.ts
+++ b/packages/relay/src/chooseTarget.ts
@@ -24,14 +24,24 @@
   readonly random: () => number;
 }
 
-/** The cost of leaving the own failure domain, in parts of a target's load. */
-const otherDomainCost = 0.35;
+/** How much fuller the own failure domain may be than the others before requests leave it, in parts of their places. */
+const otherDomainMargin = 0.15;
+/** How much likelier a request leaves its failure domain with each part by which that one is fuller. */
+const leavingSlope = 4;
 /** A target that fails everything costs as much as one with this many times its load. */
 const failureCost = 6;
 /** Times that differ less than this from the expected ones are no evidence of a slow target. */
 const slownessTolerance = 1.6;
-/** Breaks ties between equal targets, so that daemons do not all choose the same. */
-const tieBreak = 0.08;
+/**
+ * How strongly a choice prefers the cheaper target when this daemon sends few of all requests. What it knows of
+ * the others' is about as old as a stream is long, so daemons that all took the cheapest one would fill it before
+ * they hear of each other.
+ */
+const leastPreference = 2;
+/** How much stronger the preference of a daemon is that sends all requests itself. */
+const ownPreference = 40;
+/** A target counts as full with this many places left: another daemon may just be taking it. */
+const reservedPlaces = 1;
 
 const slownessOf = ({ evidence, expectedMs }: Candidate): number => {
   const seenMs = evidence.gapMs ?? evidence.answerMs;
@@ -43,23 +53,60 @@
 export const loadOf = ({ evidence, otherInFlight, slots }: Candidate): number =>
   (evidence.inFlight + otherInFlight + 1) / slots;
 
-const costOf = (candidate: Candidate, options: ChoiceOptions): number => {
-  const { evidence, isSameDomain } = candidate;
+/** Tells whether a target takes one more request without making it wait. */
+export const hasPlace = ({ evidence, otherInFlight, slots }: Candidate): boolean =>
+  evidence.inFlight + otherInFlight < slots - reservedPlaces;
+
+const costOf = (candidate: Candidate): number => {
   const slowness = slownessOf(candidate);
   return (
-    loadOf(candidate) * slowness +
-    (slowness - 1) +
-    evidence.failureShare * failureCost +
-    (isSameDomain ? 0 : otherDomainCost) +
-    options.random() * tieBreak
+    loadOf(candidate) * slowness + (slowness - 1) + candidate.evidence.failureShare * failureCost
   );
 };
 
+const meanCost = (candidates: readonly Candidate[]): number =>
+  candidates.reduce((sum, candidate) => sum + costOf(candidate), 0) / candidates.length;
+
+/** Keeps a request in its failure domain as long as that one is not fuller than the others. */
+const chooseDomain = (
+  candidates: readonly Candidate[],
+  { random }: ChoiceOptions,
+): readonly Candidate[] => {
+  const near = candidates.filter(({ isSameDomain }) => isSameDomain);
+  const far = candidates.filter(({ isSameDomain }) => !isSameDomain);
+  if (near.length === 0 || far.length === 0) return candidates;
+  const excess = meanCost(near) - meanCost(far) - otherDomainMargin;
+  return random() < excess * leavingSlope ? far : near;
+};
+
+/** Prefers the cheaper target the more strongly, the more of the requests in progress are this daemon's own. */
+const preferenceFor = (candidates: readonly Candidate[]): number => {
+  const ownCount = candidates.reduce((sum, { evidence }) => sum + evidence.inFlight, 0);
+  const otherCount = candidates.reduce((sum, { otherInFlight }) => sum + otherInFlight, 0);
+  return leastPreference + (ownPreference * ownCount) / Math.max(1, ownCount + otherCount);
+};
+
+/** Draws a target, the likelier the less it costs. */
+const drawCheap = (
+  candidates: readonly Candidate[],
+  { random }: ChoiceOptions,
+): Candidate | undefined => {
+  const preference = preferenceFor(candidates);
+  const weights = candidates.map((candidate) => Math.exp(-preference * costOf(candidate)));
+  let left = random() * weights.reduce((sum, weight) => sum + weight, 0);
+  const drawn = candidates.find((_, index) => {
+    left -= weights[index]!;
+    return left < 0;
+  });
+  return drawn ?? candidates.at(-1);
+};
+
 /**
- * Chooses the target at which a request is expected to be served best: little load, the usual pace, few
- * failures, the own failure domain. Targets to be avoided are chosen only when there is no other.
+ * Draws the target of a request: little load, the usual pace, few failures, the own failure domain. Targets to
+ * be avoided are chosen only when there is no other, full ones only when all are.
  *
- * Answers the load of a normal day with some slow and failing targets; it does not bound the load.
+ * Answers the load of many daemons that each bring few requests and hear of each other late, with some slow
+ * and failing targets; it does not bound the load.
  */
 export const chooseTarget = (
   candidates: readonly Candidate[],
@@ -67,13 +114,10 @@
 ): Candidate | undefined => {
   const open = candidates.filter(({ evidence }) => evidence.avoidUntilMs <= options.nowMs);
   const considered = open.length > 0 ? open : candidates;
-  let best: Candidate | undefined;
-  let bestCost = Infinity;
-  considered.forEach((candidate) => {
-    const cost = costOf(candidate, options);
-    if (cost >= bestCost) return;
-    best = candidate;
-    bestCost = cost;
-  });
-  return best;
+  const preferred = [
+    chooseDomain(considered, options).filter(hasPlace),
+    considered.filter(hasPlace),
+    considered,
+  ].find((choice) => choice.length > 0);
+  return drawCheap(preferred ?? [], options);
 };
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,6 +1,6 @@
 import type * as routing from '@comfreydrum/routing';
 import { attemptStream, type StreamResult } from './attemptStream';
-import { chooseTarget, loadOf, type Candidate } from './chooseTarget';
+import { chooseTarget, hasPlace, loadOf, type Candidate } from './chooseTarget';
 import { createStreamProgress } from './createStreamProgress';
 import { refuseKey } from './refuseKey';
 import { refuseNotRun, reportFailure, type Refusal } from './Refusal';
@@ -17,16 +17,8 @@
 /** Groups join within a second or two from staged weights. */
 const noGroupRetryAfterMs = 1_200;
 const fullRetryAfterMs = 1_200;
-/**
- * Requests that may wait at a head whose places are all taken: with one stream ending every 60 ms or so, the
- * first event of one more would come after its target.
- */
-const waitingPerHead = -1;
 const sendableMs = 20;
 
-const isOverloaded = ({ evidence, otherInFlight, slots }: Candidate): boolean =>
-  evidence.inFlight + otherInFlight >= slots + waitingPerHead;
-
 /** Serves a request whose answer is a stream; it goes on at another head where one breaks off. */
 export const serveStream = async (
   parts: RelayParts,
@@ -74,14 +66,14 @@
 
   const noteFailure = (
     candidate: Candidate,
-    { failure, wasSilent }: Extract<StreamResult, { kind: 'failed' }>,
+    { failure, abortedFor }: Extract<StreamResult, { kind: 'failed' }>,
     sentAtMs: number,
   ) => {
     const nowMs = clock.monotonicMs();
     message = `target ${candidate.targetId}: ${failure.message}`;
     if (failure.ran === 'unknown') runCount += 1;
     if (failure.wasRejected) rejectionCount += 1;
-    if (wasSilent) board.avoid(candidate.key, nowMs + avoidSilentMs);
+    if (abortedFor === 'silence') board.avoid(candidate.key, nowMs + avoidSilentMs);
     if (failure.wasRejected) board.avoid(candidate.key, nowMs + avoidFullMs);
     if (failure.faultyTargetId !== undefined || !failure.wasRejected) {
       parts.suspicions.suspect(failure.faultyTargetId ?? candidate.targetId);
@@ -108,7 +100,7 @@
     const candidate = choose(nowMs);
     if (candidate === undefined) return { kind: 'refused', refusal: explain() };
     const isRetry = tried.size > 0;
-    if (!isRetry && isOverloaded(candidate)) {
+    if (!isRetry && !hasPlace(candidate)) {
       const load = loadOf(candidate).toFixed(2);
       const text = `the least loaded group of model ${request.modelName} is at ${load} of its places`;
       return { kind: 'refused', refusal: refuseNotRun('overload', text, fullRetryAfterMs) };
@@ -160,5 +152,9 @@
       };
     }
     noteFailure(candidate, result, nowMs);
+    // A timer may end a run just before the clock shows the deadline.
+    if (result.abortedFor === 'time-limit') {
+      return { kind: 'refused', refusal: reportFailure('timeout', message) };
+    }
   }
 };
