Remove targets that are gone at once when a daemon comes to read the store itself

The store counts as away now only where nobody proved the list for 4.5 s. Ruled out: an age of the list that is told too young, a watch that stalls. Test: red before.

--- a/packages/fleet/src/createTargetList.test.ts
+++ b/packages/fleet/src/createTargetList.test.ts
@@ -95,4 +95,27 @@
   assert.equal(idsOf(list), ['a'], 'the one that is still missing is gone');
 });
 
+test('removes at once what is gone when it reads the store after another daemon told it the list', async () => {
+  const { list, client, clock } = await createList({
+    list: [stored('a', 1), stored('b', 2)],
+    version: 2,
+  });
+  clock.advance(8_000);
+  const target = (id: string) => ({ version: 3, target: { id, state: 'live' } as fleet.Target });
+  list.takeShared(
+    {
+      cursor: { listId: 'other', changeCount: 1 },
+      ageMs: 100,
+      isWhole: true,
+      changed: [target('a'), target('b')],
+      removedIds: [],
+    },
+    clocks.readMoment(clock),
+  );
+  clock.advance(1_800);
+  client.add({ fail: 'expired' }, { list: [stored('a', 4)], version: 9 });
+  await settle();
+  assert.equal(idsOf(list), ['a']);
+});
+
 test.run();
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -99,7 +99,6 @@
   let version = 0;
   let known = false;
   let following: Promise<void> = Promise.resolve();
-  let answeredAtMs = clock.monotonicMs();
   let backAtMs = -Infinity;
   let provedAt: clocks.Moment | undefined;
   let isFailing = false;
@@ -185,10 +184,11 @@
     return removedAtCount.size < maxRemovedKept ? 0 : (oldest ?? 0);
   };
 
+  /** A list that nobody could prove for long means that the store was away; one just told does not. */
   const noteAnswer = () => {
     const nowMs = clock.monotonicMs();
-    if (nowMs - answeredAtMs > awayAfterMs + watchWaitMs) backAtMs = nowMs;
-    answeredAtMs = nowMs;
+    const unprovedMs = nowMs - (provedAt?.monotonicMs ?? nowMs);
+    if (unprovedMs > awayAfterMs + watchWaitMs) backAtMs = nowMs;
   };
 
   const follower = objectStore.createKindFollower({
