Follow the list closely only while orders wait for their effect

It reads it every 200 ms now unless it gave orders in the last 2.5 s. The plan is proved by watches of 300 ms in place of 500: with check-ins 0.76 s apart, what daemons were told could grow older than 1.7 s, and each then called the store itself.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -17,14 +17,14 @@
 const maxStoreRetryMs = 700;
 /** Changes of targets come in bursts, and each call costs. */
 const targetListSpacingMs = 200;
-/** The controller waits for changes before its next step. */
-const holderListSpacingMs = 40;
+/** The controller waits for the effect of its orders before its next step. */
+const mendingListSpacingMs = 40;
 /** The balancer sees a failed readiness twice, a second apart, and open connections close meanwhile. */
 const noticeMs = 2_600;
 /** Kept free at the end of the grace period. */
 const shutdownMarginMs = 700;
 /** The holder's proof reaches the others by its age later, so it is renewed more often. */
-const holderPlanWaitMs = 500;
+const holderPlanWaitMs = 300;
 const planWaitMs = 1_500;
 const holderListWaitMs = 500;
 const listWaitMs = 2_000;
@@ -160,7 +160,10 @@
     fleet.createTargetList({
       ...sharedParts(owner),
       source: owner.resolve(relayTokens.platform).targetSource,
-      spacingMs: () => (isHolder() ? holderListSpacingMs : targetListSpacingMs),
+      spacingMs: () =>
+        isHolder() && owner.resolve(relayTokens.formation).awaitsChanges()
+          ? mendingListSpacingMs
+          : targetListSpacingMs,
       listId: runId,
       follows: () => {
         const isTold = news.isFresh() && owner.resolve(relayTokens.targets).ageMs() <= ownListAgeMs;
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -29,6 +29,8 @@
   readonly suspect: (suspicion: Suspicion) => void;
   /** Asks the members of a silent group; true when one does not answer, which the controller is told. */
   readonly confirmLoss: (groupKey: string) => Promise<boolean>;
+  /** Whether orders were given so lately that the list is to show their effect. */
+  readonly awaitsChanges: () => boolean;
   readonly part: lifecycle.Part;
 }
 
@@ -54,6 +56,8 @@
 const suspectTimeoutMs = 400;
 /** One daemon tells of one target this often at most. */
 const suspicionSpacingMs = 300;
+/** A group that joins from staged weights and opens shows its states within this time of an order. */
+const orderShownMs = 2_500;
 /** Epochs of one holder of the lease; its token is the higher part. */
 const epochsPerToken = 10_000;
 
@@ -79,6 +83,7 @@
   let timer: NodeJS.Timeout | undefined;
   let epochCount = 0;
   let scheduled = false;
+  let orderedAtMs = -Infinity;
 
   /** Takes the next step; set once everything that it uses is there. */
   let step = () => {};
@@ -142,6 +147,8 @@
   };
 
   const takeStep = (next: FormationStep, token: number) => {
+    // Staging takes many seconds, and nothing waits for its end.
+    if (next.kind !== 'stage') orderedAtMs = clock.monotonicMs();
     switch (next.kind) {
       case 'form': {
         epochCount += 1;
@@ -277,6 +284,7 @@
       silentIds.forEach((targetId) => suspect({ targetId, isSilent: true }));
       return silentIds.length > 0;
     },
+    awaitsChanges: () => clock.monotonicMs() - orderedAtMs < orderShownMs,
     part: {
       name: 'formation',
       start: () => {
