Find the next holder of the lease through other daemons when the store turns this one away

A holder tells daemons that check in where some others are called; one that neither reads nor renews the lease asks these who holds it, and follows the answer. Test: with the code before, the daemons turned away did not find the holder (the run did not end, as its timers went on); with it they do within 2.5 s.

--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -115,6 +115,28 @@
   await stop();
 });
 
+test('lets daemons that the store turns away find the next holder, the last one among them', async () => {
+  const { leases, store, stop } = await startDaemons(['a', 'b', 'c', 'd']);
+  await waitUntil(() => leases.every((lease) => lease.daemonCount() === 4), 3_000);
+  const turnedAway = leases.slice(0, 2);
+  store.turnAway('a');
+  store.turnAway('b');
+  const others = leases.slice(2);
+  assert.ok(await waitUntil(() => others.some(mayAct), 5_000));
+  const next = others.find(mayAct) === leases[2] ? 'c' : 'd';
+  const knowNext = () =>
+    turnedAway.every((lease) => {
+      const state = lease.state();
+      return state.kind === 'standby' && state.holderAddress === next;
+    });
+  assert.ok(await waitUntil(knowNext, 2_500));
+  assert.ok(
+    await waitUntil(() => others.find(mayAct)!.peerAddresses().length === 3, 2_000),
+    'they check in with the next holder',
+  );
+  await stop();
+});
+
 test('finds out what became of a write whose answer was lost', async () => {
   const { leases, store, stop } = await startDaemons(['a']);
   store.loseNextAnswer();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -4,6 +4,7 @@
 import type * as peers from '@comfreydrum/peers';
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
+import { createHolderSearch, type Holder } from './createHolderSearch';
 
 /** What this daemon may do as the controller. */
 export type LeaseState =
@@ -70,6 +71,8 @@
   /** Those of all daemons but the one that checks in. */
   loads: loadsSchema,
   news: zod.unknown(),
+  /** Some other daemons, which may know the next holder. */
+  peerAddresses: zod.array(zod.string()),
 });
 
 const checkInMethod = 'formation.checkIn';
@@ -92,6 +95,9 @@
 /** What others told of their requests in progress says nothing after this. */
 const loadsStandMs = 1_500;
 
+/** What others told of themselves is kept small on the wire; these are enough to find a holder through. */
+const maxToldPeers = 8;
+
 interface SeenDaemon {
   readonly address: string;
   readonly loads: Loads;
@@ -119,7 +125,7 @@
   let timer: NodeJS.Timeout | undefined;
   let busy = false;
   let stopped = false;
-  let holder: { readonly runId: string; readonly address: string } | undefined;
+  let holder: Holder | undefined;
   let version: number | undefined;
   let token: number | undefined;
   let confirmedAt: clocks.Moment | undefined;
@@ -145,8 +151,26 @@
   const loadsOfOthers = (callerId: string): Loads =>
     sumLoads([...seen].filter(([id]) => id !== callerId).map(([, { loads }]) => loads));
 
+  /** Some daemons beside the one that is told, others each time. */
+  const toldPeers = (callerAddress: string): readonly string[] => {
+    const others = seenLately()
+      .map((daemon) => daemon.address)
+      .filter((other) => other !== callerAddress);
+    const start = Math.floor(options.random() * others.length);
+    return [...others.slice(start), ...others.slice(0, start)].slice(0, maxToldPeers);
+  };
+
   const countDaemons = () => seenLately().length + 1;
 
+  const search = createHolderSearch({
+    calls,
+    random: options.random,
+    knownHolder: () => {
+      if (isHolder()) return isConfirmed() ? { runId, address } : undefined;
+      return clock.monotonicMs() - told.atMs < loadsStandMs ? holder : undefined;
+    },
+  });
+
   const stepDown = (reason: string) => {
     if (isHolder()) log.warn({ step: 'lease', token, version }, `gave up control: ${reason}`);
     token = undefined;
@@ -193,10 +217,23 @@
     return true;
   };
 
+  /** Looks for the next holder through other daemons, since the store does not answer this one. */
+  const searchHolder = async (outdatedRunId: string | undefined) => {
+    const found = await search.find(outdatedRunId);
+    if (found === undefined || found.runId === runId) return;
+    stepDown('other daemons know another holder');
+    log.info({ step: 'lease', holderRunId: found.runId, peer: found.address }, 'holder found');
+    holder = found;
+    misses = { refused: 0, silent: 0 };
+  };
+
   /** Takes the lease over unless someone else has just done so. */
   const takeOver = async (isDeathProved: boolean) => {
     const before = holder?.runId;
-    if (!(await read())) return;
+    if (!(await read())) {
+      await searchHolder(before);
+      return;
+    }
     if (holder !== undefined && holder.runId !== before) {
       misses = { refused: 0, silent: 0 };
       nextAtMs = 0;
@@ -227,6 +264,7 @@
         daemonCount = checked.data.daemonCount;
         options.news.take(checked.data.news, askedAt);
         told = { loads: checked.data.loads, atMs: clock.monotonicMs() };
+        search.remember(checked.data.peerAddresses);
         return;
       }
       // The daemon there is no longer the holder.
@@ -248,6 +286,8 @@
       if (isHolder()) {
         nextAtMs = nowMs + renewIntervalMs;
         await write(runId, 0);
+        search.remember(seenLately().map((daemon) => daemon.address));
+        if (isHolder() && !isConfirmed()) await searchHolder(runId);
       } else {
         const intervalMs = Math.max(checkInIntervalMs, daemonCount * checkInIntervalPerDaemonMs);
         nextAtMs = nowMs + intervalMs * (0.8 + 0.4 * options.random());
@@ -269,6 +309,7 @@
       daemonCount: countDaemons(),
       loads: sumLoads([loadsOfOthers(callerId), options.ownLoads()]),
       news: isHolder() ? options.news.answer(question) : undefined,
+      peerAddresses: toldPeers(callerAddress),
     };
   });
 
