Listen for hang-ups before the daemon's modules are loaded

An empty listener is set by the first module now; what is left is the start of Node itself, some 40 ms. Test: red before (main.ts loaded the process module first).

--- a/apps/comfreydrumd/src/main.ts
+++ b/apps/comfreydrumd/src/main.ts
@@ -1,3 +1,4 @@
+import './keepOnHangup';
 import process from 'node:process';
 import * as errors from '@comfreydrum/errors';
 import * as operatorsPlatform from '@comfreydrum/operators-platform/settingsFileVariable';
