Fault soak of real daemons before our own proxy

Each seed draws a series of faults that overlap: daemons killed, paused, stopped and reloaded by signals, links to the store and to workers cut, cut one way, delayed or reset by the proxy, a store that is silent, full, forgets its history or loses an answer, a worker that goes dark. Six callers go on meanwhile, half of the time on connections that they keep.

--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,32 @@
+/** Plays the fault soak: `npm run soak -- --seeds A-B [--together N]`. */
+import process from 'node:process';
+import * as commander from 'commander';
+import { playSoak } from '../platform/src/testing/soak/playSoak';
+
+const parseSeeds = (text: string): readonly number[] => {
+  const [from, to = from] = text.split('-').map(Number);
+  if (!Number.isInteger(from) || !Number.isInteger(to) || to! < from!) {
+    throw new commander.InvalidArgumentError('expected N or A-B');
+  }
+  return Array.from({ length: to! - from! + 1 }, (_, index) => from! + index);
+};
+
+const program = new commander.Command('soak')
+  .description(
+    'plays real daemons against faults from outside, and checks what callers and workers saw',
+  )
+  .option('--seeds <range>', 'seeds A-B; a fresh one when left out', parseSeeds)
+  .parse();
+const freshSeed = Date.now() % 1_000_000_000;
+const { seeds = [freshSeed] } = program.opts<{ seeds?: readonly number[] }>();
+
+let brokenCount = 0;
+for (const seed of seeds) {
+  const { faults, broken, callCount, servedCount } = await playSoak(seed);
+  if (broken.length > 0) brokenCount += 1;
+  const verdict = broken.length === 0 ? 'kept' : 'broken';
+  console.log(`seed ${seed}: ${verdict}, ${servedCount} of ${callCount} requests served`);
+  if (broken.length > 0) console.log(JSON.stringify({ seed, broken, faults }, undefined, 1));
+}
+console.log(`${seeds.length} seeds, ${brokenCount} with a broken promise`);
+process.exitCode = brokenCount > 0 ? 1 : 0;
