--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -36,7 +36,7 @@
  */
 const ownPlanAgeMs = 1_700;
 /** How long a daemon that starts waits for the holder before it asks the store itself. */
-const startWaitMs = 900;
+const startWaitMs = 1_500;
 const msPerSecond = 1_000;
 const leaseKey = { kind: 'comfreydrum-leases', name: 'formation' } as const;
 
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -57,7 +57,7 @@
 /** One daemon tells of one target this often at most. */
 const suspicionSpacingMs = 300;
 /** A group that joins from staged weights and opens shows its states within this time of an order. */
-const orderShownMs = 2_500;
+const orderShownMs = 1_500;
 /** Epochs of one holder of the lease; its token is the higher part. */
 const epochsPerToken = 10_000;
 
