Keep the preference of a daemon in a large fleet weak

The preference grew with the daemon's share of the requests it knows of, and 91 daemons still chose too much alike. It grows with the square of that share now.

--- a/packages/relay/src/chooseTarget.ts
+++ b/packages/relay/src/chooseTarget.ts
@@ -39,7 +39,7 @@
  */
 const leastPreference = 2;
 /** How much stronger the preference of a daemon is that sends all requests itself. */
-const ownPreference = 40;
+const ownPreference = 240;
 /** A target counts as full with this many places left: another daemon may just be taking it. */
 const reservedPlaces = 1;
 
@@ -83,7 +83,8 @@
 const preferenceFor = (candidates: readonly Candidate[]): number => {
   const ownCount = candidates.reduce((sum, { evidence }) => sum + evidence.inFlight, 0);
   const otherCount = candidates.reduce((sum, { otherInFlight }) => sum + otherInFlight, 0);
-  return leastPreference + (ownPreference * ownCount) / Math.max(1, ownCount + otherCount);
+  const ownShare = ownCount / Math.max(1, ownCount + otherCount);
+  return leastPreference + ownPreference * ownShare ** 2;
 };
 
 /** Draws a target, the likelier the less it costs. */
