Wait until every group serves before a domain goes dark in the proof of poison

The proof's wait is what its name says now; bounds and checks are as they were, and a violation prints the groups.

--- a/proofs/poison.ts
+++ b/proofs/poison.ts
@@ -5,6 +5,7 @@
  */
 import { performance } from 'node:perf_hooks';
 import * as testing from '@comfreydrum/testing';
+import * as groups from './missing-member/groupsInForce';
 import { startLoad, type Load, type LoadResult } from './support/createLoad';
 import { createServicePoisons, poisonService } from './support/poisonService';
 import { startControl } from './support/startControl';
@@ -62,10 +63,16 @@
 const isQuarantined = ({ statusCode, error }: testing.CompletionOutcome) =>
   statusCode === quarantinedStatus || error.includes('request_quarantined');
 
+const describeGroups = (inForce: readonly groups.GroupInForce[]): string =>
+  inForce
+    .map(({ groupId, phase, memberIds }) => `${groupId} ${phase} of ${memberIds.join('+')}`)
+    .join(', ');
+
 /** Takes down every engine of one domain while the same prompt streams from all of them. */
 const darkenDomain = async (
   fleet: testing.Fleet,
   random: testing.Random,
+  note: (text: string) => void,
 ): Promise<readonly string[]> => {
   const prompts = Array.from({ length: callerCount }, (_, index) =>
     index % 2 === 0 ? 'the same plan for all' : `plan ${index}`,
@@ -73,6 +80,7 @@
   const answers = prompts.map((prompt) => ask(random.pick(fleet.daemons), prompt));
   await sleep(random.integer(200, 1_500));
   const domain = random.integer(0, domainCount - 1);
+  const groupsBefore = await groups.readGroups(fleet);
   const lost = fleet.engines.filter((_, index) => index % domainCount === domain);
   await Promise.all(
     lost.map(async (engine) => {
@@ -81,15 +89,22 @@
     }),
   );
   const outcomes = await Promise.all(answers);
+  const groupsAfter = await groups.readGroups(fleet);
   const again = await Promise.all(prompts.map((prompt) => ask(random.pick(fleet.daemons), prompt)));
   await Promise.all(lost.map((engine) => engine.start()));
-  return [...outcomes, ...again].flatMap((outcome, index) => {
+  const violations = [...outcomes, ...again].flatMap((outcome, index) => {
     const prompt = prompts[index % prompts.length]!;
     const round = index < prompts.length ? 'during' : 'after';
     if (isQuarantined(outcome)) return [`a request was quarantined ${round} a dark domain`];
     if (isWhole(prompt, longAnswerTokens, outcome)) return [];
     return [`a stream ended ${outcome.end} ${round} a dark domain: ${outcome.error}`];
   });
+  if (violations.length > 0) {
+    note(`engines killed: ${lost.map(({ instanceId }) => instanceId).join(', ')}`);
+    note(`groups as they were killed: ${describeGroups(groupsBefore)}`);
+    note(`groups as their streams had ended: ${describeGroups(groupsAfter)}`);
+  }
+  return violations;
 };
 
 /** Sends a crashing request again and again through any daemon, sometimes giving up on it early. */
@@ -147,7 +162,7 @@
 export const prove: testing.Proof = ({ seed, random, note }) =>
   withFleet(fleetOptions(seed), async (fleet) => {
     await waitUntilWhole(fleet);
-    const darkViolations = await darkenDomain(fleet, random);
+    const darkViolations = await darkenDomain(fleet, random, note);
     note(`a domain went dark: ${darkViolations.length} violations`);
     await waitUntilWhole(fleet);
     await sleep(apartMs);
--- a/proofs/support/waitUntilWhole.ts
+++ b/proofs/support/waitUntilWhole.ts
@@ -1,14 +1,21 @@
 import * as testing from '@comfreydrum/testing';
+import * as groups from '../missing-member/groupsInForce';
 
 const timeoutMs = 15_000;
 const pollMs = 100;
 
-/** Waits until every engine has its group loaded and every daemon serves. */
+/**
+ * Waits until every engine has its group loaded, every group serves by the platform's record, and every daemon
+ * serves. An engine is ready some time before its group may be used.
+ */
 export const waitUntilWhole = async (fleet: testing.Fleet): Promise<void> => {
   const isReady = async () => {
     const states = await Promise.all(fleet.engines.map((engine) => engine.presence()));
     return states.every(({ phase }) => phase === 'ready');
   };
   await testing.waitUntil(isReady, timeoutMs, 'every engine to be ready', pollMs);
+  const doAllServe = async () =>
+    (await groups.readGroups(fleet)).every(({ phase }) => phase === 'serving');
+  await testing.waitUntil(doAllServe, timeoutMs, 'every group to serve', pollMs);
   await fleet.waitUntilServing();
 };
