--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -4,7 +4,7 @@
 import type * as peers from '@comfreydrum/peers';
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
-import { createHolderSearch, type Holder } from './createHolderSearch';
+import * as holderSearch from './createHolderSearch';
 
 /** What this daemon may do as the controller. */
 export type LeaseState =
@@ -125,7 +125,7 @@
   let timer: NodeJS.Timeout | undefined;
   let busy = false;
   let stopped = false;
-  let holder: Holder | undefined;
+  let holder: holderSearch.Holder | undefined;
   let version: number | undefined;
   let token: number | undefined;
   let confirmedAt: clocks.Moment | undefined;
@@ -162,7 +162,7 @@
 
   const countDaemons = () => seenLately().length + 1;
 
-  const search = createHolderSearch({
+  const search = holderSearch.createHolderSearch({
     calls,
     random: options.random,
     knownHolder: () => {
--- a/packages/relay/src/choices.replay.test.ts
+++ b/packages/relay/src/choices.replay.test.ts
@@ -1,7 +1,7 @@
 import * as routing from '@comfreydrum/routing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
-import { playChoices, type ChoiceLoad } from './testing/playChoices';
+import * as plays from './testing/playChoices';
 
 const test = uvu.suite('choices under load');
 
@@ -10,7 +10,7 @@
 const maxWaitedFraction = 0.05;
 
 /** The grown desk at 57 in 100 of its places, one failure domain with more callers than the others. */
-const grownFleet: ChoiceLoad = {
+const grownFleet: plays.ChoiceLoad = {
   domainCount: 4,
   headsPerDomain: 9,
   daemonCount: 91,
@@ -23,7 +23,7 @@
 };
 
 /** The mediation service's smaller model with all of its groups. */
-const smallFleet: ChoiceLoad = {
+const smallFleet: plays.ChoiceLoad = {
   domainCount: 3,
   headsPerDomain: 3,
   daemonCount: 6,
@@ -35,7 +35,7 @@
   durationMs: 30_000,
 };
 
-const play = (load: ChoiceLoad) => playChoices(load, routing.createRandom(seed));
+const play = (load: plays.ChoiceLoad) => plays.playChoices(load, routing.createRandom(seed));
 
 test('streams of a large fleet find places though its daemons hear of each other late', () => {
   const { waitedFraction } = play(grownFleet);
--- a/packages/relay/src/testing/playChoices.ts
+++ b/packages/relay/src/testing/playChoices.ts
@@ -1,5 +1,5 @@
 import type * as routing from '@comfreydrum/routing';
-import { chooseTarget, type Candidate } from '../chooseTarget';
+import * as choices from '../chooseTarget';
 
 /** A fleet of daemons and heads, and the load that callers bring. */
 export interface ChoiceLoad {
@@ -97,7 +97,7 @@
     return there[Math.floor(random.fraction() * there.length)]!;
   };
 
-  const toCandidate = (daemon: PlayedDaemon, head: PlayedHead): Candidate => ({
+  const toCandidate = (daemon: PlayedDaemon, head: PlayedHead): choices.Candidate => ({
     key: head.key,
     targetId: head.key,
     address: '127.0.0.1:1',
@@ -119,7 +119,7 @@
   const arrive = (nowMs: number) => {
     const daemon = drawDaemon();
     const candidates = heads.map((head) => toCandidate(daemon, head));
-    const chosen = chooseTarget(candidates, { nowMs, random: random.fraction });
+    const chosen = choices.chooseTarget(candidates, { nowMs, random: random.fraction });
     const head = heads.find(({ key }) => key === chosen?.key)!;
     const count = head.endsAtMs.size;
     arrivedCount += 1;
--- a/proofs/rolling-change/checkStreams.test.ts
+++ b/proofs/rolling-change/checkStreams.test.ts
@@ -1,15 +1,15 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import type * as testing from '@comfreydrum/testing';
-import type { GroupInForce } from '../missing-member/groupsInForce';
-import type { LoadResult } from '../support/createLoad';
-import { checkStream } from './checkStreams';
-import type { Strike } from './strike';
+import type * as groups from '../missing-member/groupsInForce';
+import type * as loads from '../support/createLoad';
+import * as checks from './checkStreams';
+import type * as strikes from './strike';
 
 const test = uvu.suite('checkStreams');
 const struckAtMs = 10_000;
 
-const groupOf = (groupId: string, modelVersion: string): GroupInForce => ({
+const groupOf = (groupId: string, modelVersion: string): groups.GroupInForce => ({
   groupId,
   generation: 1,
   phase: 'serving',
@@ -18,7 +18,7 @@
 });
 
 const killed = groupOf('killed', '2');
-const struck: Strike = { atMs: struckAtMs, group: killed };
+const struck: strikes.Strike = { atMs: struckAtMs, group: killed };
 const served = [
   {
     requestId: 'request-1',
@@ -43,32 +43,37 @@
     error: 'gone',
     durationMs: 550,
   },
-} as LoadResult;
+} as loads.LoadResult;
 
-const samplerOf = (others: readonly GroupInForce[], lastServedAtMs: number) => ({
+const samplerOf = (others: readonly groups.GroupInForce[], lastServedAtMs: number) => ({
   lastServedAtMs: () => lastServedAtMs,
   servingBetween: () => [killed, ...others],
 });
 
 test('a stream of the first group of a new version has nowhere to go on', () => {
   const later = struckAtMs + 5_000;
-  assert.equal(checkStream(broken, struck, served, samplerOf([], later)), []);
+  assert.equal(checks.checkStream(broken, struck, served, samplerOf([], later)), []);
 });
 
 test('a stream that could have gone on at another group of its version is a fault', () => {
   const later = struckAtMs + 5_000;
-  const faults = checkStream(broken, struck, served, samplerOf([groupOf('other', '2')], later));
+  const faults = checks.checkStream(
+    broken,
+    struck,
+    served,
+    samplerOf([groupOf('other', '2')], later),
+  );
   assert.is(faults.length, 1);
   assert.match(faults[0]!, 'others of its version that served meanwhile: other@1 v2');
 });
 
 test('a stream whose version went while it waited is explained', () => {
   const sampler = samplerOf([groupOf('other', '2')], struckAtMs + 40);
-  assert.equal(checkStream(broken, struck, served, sampler), []);
+  assert.equal(checks.checkStream(broken, struck, served, sampler), []);
 });
 
 test('a stream that never ran on the killed group is a fault', () => {
-  assert.is(checkStream(broken, struck, [], samplerOf([], struckAtMs + 5_000)).length, 1);
+  assert.is(checks.checkStream(broken, struck, [], samplerOf([], struckAtMs + 5_000)).length, 1);
 });
 
 test.run();
