Pass on the head of a stream that has no events left

A target ended a stream without another event, as it does where the caller already has all of them; the head was only passed on with the first event, so the answer went out with a bare 200. The head of the first run is written at its clean end too. Test: red before (no stamp).

--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -80,6 +80,13 @@
       progress.onEvent(id, nowMs);
     };
 
+    /** The first run of a stream names the answer, also when it has no events left to bring. */
+    const writeHead = () => {
+      if (response.headersSent) return;
+      if (isUnframed(answer, context.request.method)) leaveUnframed(response);
+      response.writeHead(answer.statusCode, answerHeadersOf(answer.headers));
+    };
+
     const passOn = (events: readonly StreamEvent[]): string | undefined => {
       const nowMs = clock.monotonicMs();
       for (const event of events) {
@@ -87,10 +94,7 @@
         if (!isNext(event, lastEventId)) {
           return `event ${event.id} came after event ${lastEventId}`;
         }
-        if (!response.headersSent) {
-          if (isUnframed(answer, context.request.method)) leaveUnframed(response);
-          response.writeHead(answer.statusCode, answerHeadersOf(answer.headers));
-        }
+        writeHead();
         if (!response.write(event.bytes)) answer.body.pause();
         noteEvent(event.id, nowMs);
       }
@@ -109,7 +113,10 @@
       onEnd: (cause) => {
         if (cause !== undefined) settle(errors.describeCause(cause));
         else if (splitter.heldBytes() > 0) settle('the answer ended in the middle of an event');
-        else settle(undefined);
+        else {
+          writeHead();
+          settle(undefined);
+        }
       },
     });
   });
--- a/packages/relay/src/serveStream.test.ts
+++ b/packages/relay/src/serveStream.test.ts
@@ -27,6 +27,20 @@
   });
 });
 
+test('passes on the headers of a stream that has no events left', async () => {
+  const empty: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    response.end();
+  };
+  await withRelay({ targets: [{ id: 't1', listener: empty }] }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.status, 200);
+    assert.is(answer.text, '');
+    assert.ok(answer.isComplete);
+    assert.is(answer.headers['x-stamp'], 's1');
+  });
+});
+
 test('goes on at another group where a target is reset in the middle of an event', async () => {
   const torn: http.RequestListener = (request, response) => {
     beginStream(request, response, 's1');
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -134,7 +134,6 @@
     if (context.callerGone.aborted) return { kind: 'caller-gone' };
     if (result.kind === 'complete') {
       const isFramed = response.headersSent && response.useChunkedEncodingByDefault;
-      if (!response.headersSent) response.writeHead(result.statusCode);
       // The end of a run without a frame proves nothing to a caller who was promised one.
       if (isFramed && result.isUnframed) response.socket?.destroySoon();
       else response.end();
