Read the list closely for 4 s after an order

A join from staged weights takes 1.6 s and is shown in the list after the 1.5 s were over, so that each of its steps waited up to 200 ms longer.

--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -56,8 +56,8 @@
 const suspectTimeoutMs = 400;
 /** One daemon tells of one target this often at most. */
 const suspicionSpacingMs = 300;
-/** A group that joins from staged weights and opens shows its states within this time of an order. */
-const orderShownMs = 1_500;
+/** A group closes, joins from staged weights and opens, each step shown in the list, within this time. */
+const orderShownMs = 4_000;
 /** Epochs of one holder of the lease; its token is the higher part. */
 const epochsPerToken = 10_000;
 
