--- a/scripts/prove.ts
+++ b/scripts/prove.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import * as commander from 'commander';
 import type * as testing from '@comfreydrum/testing';
+import * as seedOptions from './parseSeeds';
 import { runProcess } from './runProcess';
 
 interface SeedResult {
@@ -13,14 +14,6 @@
 
 const timeoutMs = 52_000;
 
-const parseSeeds = (text: string): readonly number[] => {
-  const [from, to = from] = text.split('-').map(Number);
-  if (!Number.isInteger(from) || !Number.isInteger(to) || to! < from!) {
-    throw new commander.InvalidArgumentError('expected N or A-B');
-  }
-  return Array.from({ length: to! - from! + 1 }, (_, index) => from! + index);
-};
-
 const parseReport = (output: string): testing.ProofReport => {
   const lastLine = output.trimEnd().split('\n').at(-1) ?? '';
   try {
@@ -60,8 +53,8 @@
 
 const program = new commander.Command('prove')
   .argument('[promise]', 'name of one proof')
-  .option('--seed <seed>', 'one seed', parseSeeds)
-  .option('--seeds <range>', 'seeds A-B', parseSeeds)
+  .option('--seed <seed>', 'one seed', seedOptions.parseSeeds)
+  .option('--seeds <range>', 'seeds A-B', seedOptions.parseSeeds)
   .parse();
 const { seed, seeds } = program.opts<{ seed?: readonly number[]; seeds?: readonly number[] }>();
 const [named] = program.args;
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,21 +1,14 @@
-/** Plays the fault soak: `npm run soak -- --seeds A-B [--together N]`. */
+/** Plays the fault soak: `npm run soak -- --seeds A-B`. */
 import process from 'node:process';
 import * as commander from 'commander';
 import * as soak from '../platform/src/testing/soak/playSoak';
-
-const parseSeeds = (text: string): readonly number[] => {
-  const [from, to = from] = text.split('-').map(Number);
-  if (!Number.isInteger(from) || !Number.isInteger(to) || to! < from!) {
-    throw new commander.InvalidArgumentError('expected N or A-B');
-  }
-  return Array.from({ length: to! - from! + 1 }, (_, index) => from! + index);
-};
+import * as seedOptions from './parseSeeds';
 
 const program = new commander.Command('soak')
   .description(
     'plays real daemons against faults from outside, and checks what callers and workers saw',
   )
-  .option('--seeds <range>', 'seeds A-B; a fresh one when left out', parseSeeds)
+  .option('--seeds <range>', 'seeds A-B; a fresh one when left out', seedOptions.parseSeeds)
   .parse();
 const freshSeed = Date.now() % 1_000_000_000;
 const { seeds = [freshSeed] } = program.opts<{ seeds?: readonly number[] }>();
