Relay: log the fingerprint of each request, and targets that end while they run one

What operators saw: the log named a request by the id of the caller's attempt, which differs each time the caller sends the request again, and nothing said that a plain target had ended.

When a connection breaks after a request was sent, the target's port is checked; one that refuses connections has ended, and the line names the request that it ran. comfreydrum_crashed_runs_total counts these. explain-logs takes a fingerprint.

--- a/apps/comfreydrumctl/src/explainFromLogs.test.ts
+++ b/apps/comfreydrumctl/src/explainFromLogs.test.ts
@@ -38,6 +38,14 @@
   assert.ok(lines.some((text) => text.includes('join')));
 });
 
+test('lists the attempts of one request by their fingerprint', () => {
+  const attempts = [1, 2].map((second) =>
+    line(second, { requestId: `r${second}`, step: 'request', fingerprint: 'f1' }),
+  );
+  const lines = explainFromLogs('f1', readLogLines(attempts.join('\n')));
+  assert.is(lines.length, 2);
+});
+
 test('returns no lines for an unknown id', () => {
   assert.equal(explainFromLogs('r9', readLogLines(logs)), []);
 });
--- a/apps/comfreydrumctl/src/explainFromLogs.ts
+++ b/apps/comfreydrumctl/src/explainFromLogs.ts
@@ -48,13 +48,19 @@
 };
 
 /**
- * Returns the log lines of several daemons about one request, group or target, in time order: the lines
- * that name it, and lines about the groups and targets named there that are at most `relatedWindowMs`
+ * Returns the log lines of several daemons about one request, fingerprint, group or target, in time order: the
+ * lines that name it, and lines about the groups and targets named there that are at most `relatedWindowMs`
  * earlier or later and belong to no other request.
  */
 export const explainFromLogs = (id: string, lines: readonly LogLine[]): readonly string[] => {
   const matchingLines = lines.filter(({ fields }) =>
-    [fields.requestId, fields.targetId, fields.group, fields.groupName].includes(id),
+    [
+      fields.requestId,
+      fields.fingerprint,
+      fields.targetId,
+      fields.group,
+      fields.groupName,
+    ].includes(id),
   );
   if (matchingLines.length === 0) return [];
   const names = collectNames(matchingLines);
--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -6,6 +6,7 @@
 import * as operatorsPlatform from '@comfreydrum/operators-platform';
 import * as peers from '@comfreydrum/peers';
 import * as relay from '@comfreydrum/relay';
+import * as routing from '@comfreydrum/routing';
 import type * as settings from '@comfreydrum/settings';
 import * as telemetry from '@comfreydrum/telemetry';
 import * as tsyringe from 'tsyringe';
@@ -112,6 +113,7 @@
     keyValidityMs: keys.revocationMs - keyCheckMarginMs,
     retryFraction: retries.fraction,
     fleetRetryReserve: retries.reserve,
+    hasher: container.resolve(relayTokens.hasher),
     failureReporter: {
       suspect: (targetId) =>
         container.resolve(relayTokens.formation).suspect({ targetId, isSilent: false }),
@@ -121,10 +123,10 @@
 };
 
 /** Creates the dependency injection container of a relay daemon. Components are created when first resolved. */
-export const createRelayContainer = (
+export const createRelayContainer = async (
   daemonSettings: settings.RelaySettings,
   log: telemetry.Log,
-): tsyringe.DependencyContainer => {
+): Promise<tsyringe.DependencyContainer> => {
   const container = tsyringe.container.createChildContainer();
   const systemClock = clock.createSystemClock();
   const { instanceId, ip, fleet: fleetName } = daemonSettings;
@@ -142,6 +144,7 @@
   container.register(relayTokens.settings, { useValue: daemonSettings });
   container.register(relayTokens.clock, { useValue: systemClock });
   container.register(relayTokens.log, { useValue: log });
+  container.register(relayTokens.hasher, { useValue: await routing.createPrefixHasher() });
   container.register(relayTokens.metrics, { useValue: telemetry.createMetrics() });
   register(relayTokens.platform, createPlatform);
   register(relayTokens.store, createStore);
--- a/apps/comfreydrumd/src/relay/relayTokens.ts
+++ b/apps/comfreydrumd/src/relay/relayTokens.ts
@@ -5,6 +5,7 @@
 import type * as operatorsPlatform from '@comfreydrum/operators-platform';
 import type * as peers from '@comfreydrum/peers';
 import type * as relay from '@comfreydrum/relay';
+import type * as routing from '@comfreydrum/routing';
 import type * as settings from '@comfreydrum/settings';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type * as tsyringe from 'tsyringe';
@@ -17,6 +18,7 @@
   clock: createToken<clock.Clock>('clock'),
   log: createToken<telemetry.Log>('log'),
   metrics: createToken<telemetry.Metrics>('metrics'),
+  hasher: createToken<routing.PrefixHasher>('hasher'),
   platform: createToken<operatorsPlatform.OperatorsPlatform>('platform'),
   store: createToken<objectStore.BudgetedPlatformClient>('store'),
   calls: createToken<peers.StandalonePeerCalls>('calls'),
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -4,6 +4,7 @@
 import type * as targetClient from '@comfreydrum/target-client';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { CallerWire } from './CallerRequest';
+import type { CrashMonitor } from './crashes/createCrashMonitor';
 import type { RelayMetrics } from './createRelayMetrics';
 import type { StallMonitor } from './createStallMonitor';
 import type { TargetTracker } from './createTargetTracker';
@@ -40,4 +41,6 @@
   /** Keys are treated as revoked once the plan has not been confirmed as current for this long. */
   readonly keyValidityMs: number;
   readonly failureReporter: FailureReporter;
+  readonly hasher: routing.PrefixHasher;
+  readonly crashMonitor: CrashMonitor;
 }
--- a/packages/relay/src/RequestContext.ts
+++ b/packages/relay/src/RequestContext.ts
@@ -9,6 +9,8 @@
   readonly service: fleet.Service;
   readonly customerName: string | undefined;
   readonly body: Buffer | null;
+  /** Hash of the customer, method, URL and body; equal for every attempt to send the same request. */
+  readonly fingerprint: string;
   readonly response: http.ServerResponse;
   readonly arrivedAtMs: number;
   /** Deadline on the monotonic clock. */
--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -50,7 +50,11 @@
     if (!read.ok) {
       if (!context.callerDisconnected.aborted) targetTracker.onFailure(candidate.key, nowMs);
       const { message } = read.error;
-      return { kind: 'failed', failure: { ran: 'unknown', message, wasRejected: false } };
+      const wasBroken = !signal.aborted;
+      return {
+        kind: 'failed',
+        failure: { ran: 'unknown', message, wasRejected: false, wasBroken },
+      };
     }
     if (answer.statusCode >= 500) targetTracker.onFailure(candidate.key, nowMs);
     else targetTracker.onResponse(candidate.key, nowMs - sentAtMs, nowMs);
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -224,7 +224,10 @@
       return fail({ ran: 'unknown', message, wasRejected: false });
     }
     const fault = await relayEvents(dependencies, context, attempt, sent.matched);
-    if (fault !== undefined) return fail({ ran: 'unknown', message: fault, wasRejected: false });
+    if (fault !== undefined) {
+      const wasBroken = !signal.aborted;
+      return fail({ ran: 'unknown', message: fault, wasRejected: false, wasBroken });
+    }
     const nowMs = clock.monotonicMs();
     targetTracker.onResponse(candidate.key, nowMs - context.arrivedAtMs, nowMs);
     return {
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -10,6 +10,8 @@
   type CallerListener,
   type CallerListenerOptions,
 } from './createCallerListener';
+import { createCrashMonitor } from './crashes/createCrashMonitor';
+import { createProcessCheck } from './crashes/createProcessCheck';
 import { createRelayMetrics } from './createRelayMetrics';
 import { createStallMonitor } from './createStallMonitor';
 import { createTargetTracker } from './createTargetTracker';
@@ -38,6 +40,7 @@
   /** Additional retries allowed across the fleet. */
   readonly fleetRetryReserve: number;
   readonly failureReporter: FailureReporter;
+  readonly hasher: routing.PrefixHasher;
 }
 
 /** Serves callers' requests and reports readiness and load. */
@@ -74,6 +77,7 @@
     fraction: options.retryFraction * usableRetryFraction,
     reserve: ownReserve(),
   });
+  const metrics = createRelayMetrics(options.metrics);
   let reserveTimer: NodeJS.Timeout | undefined;
   const dependencies: RelayDependencies = {
     clock,
@@ -83,7 +87,7 @@
     client,
     singleUseClient,
     stallMonitor,
-    metrics: createRelayMetrics(options.metrics),
+    metrics,
     directory: createTargetDirectory({
       targets,
       targetTracker,
@@ -96,6 +100,12 @@
     random: options.random,
     keyValidityMs: options.keyValidityMs,
     failureReporter: options.failureReporter,
+    hasher: options.hasher,
+    crashMonitor: createCrashMonitor({
+      log,
+      processCheck: createProcessCheck({ clock, localAddress: options.localAddress }),
+      losses: metrics.crashedRuns,
+    }),
   };
   const callerListener = createCallerListener(dependencies, options);
   let lastReady: boolean | undefined;
--- a/packages/relay/src/createRelayMetrics.ts
+++ b/packages/relay/src/createRelayMetrics.ts
@@ -5,6 +5,7 @@
   readonly requests: telemetry.Counter;
   readonly outcomes: telemetry.Counter;
   readonly dispatches: telemetry.Counter;
+  readonly crashedRuns: telemetry.Counter;
   readonly firstEventMs: telemetry.Histogram;
   readonly gapMs: telemetry.Histogram;
   readonly responseMs: telemetry.Histogram;
@@ -21,6 +22,11 @@
     'service',
     'reason',
   ]),
+  crashedRuns: metrics.counter(
+    'comfreydrum_crashed_runs_total',
+    'Runs of requests whose target ended meanwhile.',
+    [],
+  ),
   firstEventMs: metrics.histogram(
     'comfreydrum_first_event_ms',
     'From the arrival of a request to the first event of its answer.',
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -17,6 +17,8 @@
   readonly message: string;
   /** Whether the target itself rejected the request. */
   readonly wasRejected: boolean;
+  /** Whether the connection broke after the request was sent, and not because this daemon aborted it. */
+  readonly wasBroken?: boolean;
   readonly faultyTargetId?: string | undefined;
 }
 
@@ -39,10 +41,12 @@
   dependencies: RelayDependencies,
   context: RequestContext,
   sent: ClientResult,
+  signal: AbortSignal,
 ): SendResult => {
   if (!sent.ok) {
     const { ran, message } = sent.error;
-    return failed({ ran, message, wasRejected: false });
+    const wasBroken = ran === 'unknown' && !signal.aborted;
+    return failed({ ran, message, wasRejected: false, wasBroken });
   }
   const answer = sent.value;
   const metadata = dependencies.targetWire.decodeResponse(answer.statusCode, answer.headers);
@@ -87,5 +91,5 @@
     signal,
     mayWrite: context.isStillAuthorized,
   });
-  return toSendResult(dependencies, context, sent);
+  return toSendResult(dependencies, context, sent, signal);
 };
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -127,6 +127,7 @@
       {
         requestId: request.requestId,
         step: 'dispatch',
+        fingerprint: context.fingerprint,
         peer: candidate.address,
         targetId: candidate.targetId,
         ran: failure.ran,
@@ -134,6 +135,14 @@
       },
       failure.message,
     );
+    if (failure.wasBroken) {
+      const { requestId } = request;
+      dependencies.crashMonitor.onBroken({
+        requestId,
+        fingerprint: context.fingerprint,
+        candidate,
+      });
+    }
     if (failure.ran === 'unknown' && !isIdempotent) return createFinalResult();
   }
 };
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -3,6 +3,7 @@
 import * as fleet from '@comfreydrum/fleet';
 import type { CallerRequest } from './CallerRequest';
 import { chooseService } from './chooseService';
+import { fingerprintRequest } from './crashes/fingerprintRequest';
 import { readBody } from './readBody';
 import { createNotRunRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
@@ -75,12 +76,15 @@
     return dependencies.plan.current()?.customersByKey?.has(request.key ?? '') ?? false;
   };
 
+/** The result of a request, with its fingerprint if its body was read. */
+type FingerprintedResult = ServeResult & { readonly fingerprint?: string };
+
 const serve = async (
   dependencies: RelayDependencies,
   request: CallerRequest,
   message: http.IncomingMessage,
   response: http.ServerResponse,
-): Promise<ServeResult> => {
+): Promise<FingerprintedResult> => {
   const arrivedAtMs = dependencies.clock.monotonicMs();
   const disconnect = new AbortController();
   response.once('close', () => {
@@ -97,6 +101,7 @@
     const text = `route ${route.name} names no service of revision ${plan.revision}`;
     return refused(createNotRunRefusal('no-target', text, noPlanRetryAfterMs));
   }
+  const fingerprint = fingerprintRequest(dependencies.hasher, request, customerName, body.bytes);
   const timeLimitMs = Math.min(route.timeoutMs, request.timeLimitMs ?? Infinity);
   const context: RequestContext = {
     request,
@@ -104,6 +109,7 @@
     service,
     customerName,
     body: body.bytes,
+    fingerprint,
     response,
     arrivedAtMs,
     deadlineAtMs: arrivedAtMs + timeLimitMs,
@@ -121,7 +127,7 @@
   if (result.kind === 'answered') {
     dependencies.metrics.responseMs.record(dependencies.clock.monotonicMs() - arrivedAtMs);
   }
-  return result;
+  return { ...result, fingerprint };
 };
 
 const toLogFields = (result: ServeResult): Readonly<Record<string, unknown>> => {
@@ -144,7 +150,7 @@
   const arrivedAtMs = clock.monotonicMs();
   const request = callerWire.readRequest(message);
   const listAgeMs = dependencies.directory.ageMs();
-  let result: ServeResult;
+  let result: FingerprintedResult;
   try {
     result = await serve(dependencies, request, message, response);
   } catch (cause) {
@@ -165,6 +171,7 @@
       step: 'request',
       path: request.path,
       model: request.modelName,
+      fingerprint: result.fingerprint,
       tookMs: Math.round(clock.monotonicMs() - arrivedAtMs),
       planRevision: plan?.revision,
       planAgeMs: Math.round(dependencies.plan.ageMs()),
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -83,6 +83,7 @@
       {
         requestId: request.requestId,
         step: 'stream',
+        fingerprint: context.fingerprint,
         peer: candidate.address,
         targetId: candidate.targetId,
         group: candidate.groupKey,
@@ -157,6 +158,14 @@
       };
     }
     recordFailure(candidate, result, nowMs);
+    if (result.failure.wasBroken) {
+      const { requestId } = request;
+      dependencies.crashMonitor.onBroken({
+        requestId,
+        fingerprint: context.fingerprint,
+        candidate,
+      });
+    }
     // The timer may abort a run just before the monotonic clock reaches the deadline.
     if (result.abortedFor === 'time-limit') {
       return { kind: 'refused', refusal: createFailureRefusal('timeout', message) };
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import * as clocks from '@comfreydrum/clock';
 import * as fleet from '@comfreydrum/fleet';
+import * as routing from '@comfreydrum/routing';
 import * as telemetry from '@comfreydrum/telemetry';
 import * as relay from '../index';
 
@@ -221,6 +222,7 @@
     keyValidityMs: 4_000,
     retryFraction: 0.2,
     fleetRetryReserve: 100,
+    hasher: await routing.createPrefixHasher(),
     failureReporter: {
       suspect: (targetId) => suspected.push(targetId),
       confirmLoss: async () => options.confirmLoss?.() ?? false,
