Quarantine: attribute losses by an interface, with a second rule that needs no permits

The quarantine counted independent losses and relied on permits that let suspects run one to a target. On the operators' platform a head runs up to 26 streams and two joined targets are lost every three seconds, so a permit for each of their streams would delay innocent requests. IndependentLossAttribution is the former rule, unchanged.

Also: verdicts that daemons send to each other, runs that a target rejected, the loss of a group's member, and the schemas of updates, which move here from the gateway.

--- a/packages/gateway/src/quarantineMessages.ts
+++ b/packages/gateway/src/quarantineMessages.ts
@@ -1,34 +1,13 @@
-import type * as routing from '@comfreydrum/routing';
+import * as routing from '@comfreydrum/routing';
 import * as zod from 'zod';
 
-const targetSchema = zod.object({
-  targetId: zod.string(),
-  generation: zod.number(),
-  failureDomain: zod.string(),
-});
-
-const lossSchema = zod.object({
-  kind: zod.literal('loss'),
-  target: targetSchema,
-  fingerprints: zod.array(zod.string()).readonly(),
-  ageMs: zod.number(),
-});
-
-const clearedSchema = zod.object({
-  kind: zod.literal('cleared'),
-  fingerprint: zod.string(),
-  targetKeys: zod.array(zod.string()).readonly(),
-});
-
-const updateSchema = zod.discriminatedUnion('kind', [lossSchema, clearedSchema]);
-
 const permitRequestSchema = zod.object({
   fingerprint: zod.string(),
   requestId: zod.string(),
-  target: targetSchema,
+  target: routing.crashTargetSchema,
   holderId: zod.string(),
   /** The losses that the requesting daemon knows of, so that both daemons evaluate the same losses. */
-  losses: zod.array(lossSchema).readonly(),
+  losses: zod.array(routing.lossUpdateSchema).readonly(),
 });
 
 /** A request to the permit coordinator to run a suspect on a target. */
@@ -41,7 +20,10 @@
     retryAfterMs: zod.number(),
     busy: zod.enum(['fingerprint', 'target', 'handover']),
   }),
-  zod.object({ kind: zod.literal('quarantined'), losses: zod.array(lossSchema).readonly() }),
+  zod.object({
+    kind: zod.literal('quarantined'),
+    losses: zod.array(routing.lossUpdateSchema).readonly(),
+  }),
 ]);
 
 /** The response of the permit coordinator. */
@@ -49,7 +31,7 @@
 
 /** Reads a quarantine update; returns undefined if the value is not valid. */
 export const readQuarantineUpdate = (value: unknown): routing.QuarantineUpdate | undefined =>
-  updateSchema.safeParse(value).data;
+  routing.quarantineUpdateSchema.safeParse(value).data;
 
 /** Reads a permit request; throws if the value is not valid, and the calling daemon receives the error. */
 export const readPermitRequest = (value: unknown): PermitRequest =>
--- a/packages/routing/src/Quarantine.ts
+++ b/packages/routing/src/Quarantine.ts
@@ -25,17 +25,23 @@
   readonly targetKeys: readonly string[];
 }
 
+/** Reports to other daemons that a request is quarantined, whatever losses they know of. */
+export interface VerdictUpdate {
+  readonly kind: 'quarantined';
+  readonly fingerprint: string;
+  readonly ageMs: number;
+}
+
 /** An update on crashes that daemons send to each other. */
-export type QuarantineUpdate = LossUpdate | ClearedUpdate;
+export type QuarantineUpdate = LossUpdate | ClearedUpdate | VerdictUpdate;
 
 /**
  * The quarantine status of a request.
  *
  * - `clear`: the request may run on any target.
- * - `suspect`: one target was lost while running it. It needs a permit to run, and must run on a
- *   target that is not in `lostTargetKeys`.
- * - `quarantined`: at least two targets were lost while running it, at different times or in
- *   different failure domains. It must not run.
+ * - `suspect`: a target was lost while running it. With `IndependentLossAttribution` it needs a permit
+ *   to run, and must run on a target that is not in `lostTargetKeys`.
+ * - `quarantined`: the losses that the attribution counts are conclusive. It must not run.
  */
 export type QuarantineStatus =
   | { readonly kind: 'clear' }
@@ -62,18 +68,19 @@
   /**
    * Records the end of a request. A completed request is no longer suspect, and the returned
    * update, if any, must be sent to the other daemons. A stopped request may still cause the loss
-   * of its target shortly after.
+   * of its target shortly after; one that the target did not run can't.
    */
   readonly onEnd: (
     requestId: string,
-    outcome: 'completed' | 'stopped',
+    outcome: 'completed' | 'stopped' | 'not-run',
     nowMs: number,
   ) => ClearedUpdate | undefined;
   /**
-   * Records the loss of a target and marks the requests that it was running as suspect. The
-   * returned update must be sent to the other daemons.
+   * Records the loss of a target and marks the requests that it was running as suspect. If the target is a
+   * member of a group, `ranOn` is the head to which the requests were sent. The returned update must be sent
+   * to the other daemons.
    */
-  readonly onTargetLost: (target: CrashTarget, nowMs: number) => LossUpdate;
+  readonly onTargetLost: (target: CrashTarget, nowMs: number, ranOn?: CrashTarget) => LossUpdate;
   readonly onUpdate: (update: QuarantineUpdate, nowMs: number) => void;
   /** Returns the losses of which a request is suspected, as updates for another daemon. */
   readonly lossesOf: (fingerprint: string, nowMs: number) => readonly LossUpdate[];
--- a/packages/routing/src/createQuarantine.ts
+++ b/packages/routing/src/createQuarantine.ts
@@ -1,3 +1,5 @@
+import { IndependentLossAttribution } from './IndependentLossAttribution';
+import type { LossAssessment, LossAttribution, LossRecord, RecordedLoss } from './LossAttribution';
 import {
   targetKeyOf,
   type ClearedUpdate,
@@ -12,16 +14,14 @@
   readonly lifetimeMs?: number;
   /** Targets lost within this time of each other may have been lost for the same reason. */
   readonly correlationMs?: number;
+  readonly attribution?: LossAttribution;
   readonly maxEntries?: number;
   /** Time after a run was stopped during which it may still cause the loss of its target. */
   readonly stoppedRunWindowMs?: number;
 }
 
-interface Loss {
-  readonly targetKey: string;
+interface Loss extends RecordedLoss {
   readonly target: CrashTarget;
-  readonly failureDomain: string;
-  readonly atMs: number;
 }
 
 interface Entry {
@@ -44,11 +44,6 @@
 const defaultMaxEntries = 20_000;
 const defaultStoppedRunWindowMs = 3_000;
 const maxLosses = 2_048;
-/**
- * A loss isn't attributed to a request if at least this many other targets, on which the request
- * did not run, were lost in the same failure domain at about the same time.
- */
-const minUnrelatedLosses = 2;
 const clearStatus: QuarantineStatus = { kind: 'clear' };
 
 /** Creates a quarantine without entries. */
@@ -58,6 +53,7 @@
     correlationMs = defaultCorrelationMs,
     maxEntries = defaultMaxEntries,
     stoppedRunWindowMs = defaultStoppedRunWindowMs,
+    attribution = new IndependentLossAttribution(correlationMs),
   } = options;
   const runs = new Map<string, Run>();
   const runsOfTarget = new Map<string, Set<string>>();
@@ -65,6 +61,9 @@
   const stoppedIds = new Set<string>();
   const losses = new Map<string, Loss>();
   const entries = new Map<string, Entry>();
+  const suspectsOfTarget = new Map<string, Set<string>>();
+  /** Times until which requests are quarantined by a verdict. */
+  const verdicts = new Map<string, number>();
 
   const dropOldest = <Value>(map: Map<string, Value>, maxSize: number) => {
     for (const oldest of map.keys()) {
@@ -85,6 +84,7 @@
     };
     losses.set(targetKey, loss);
     dropOldest(losses, maxLosses);
+    dropOldest(suspectsOfTarget, maxLosses);
     return loss;
   };
 
@@ -99,53 +99,39 @@
     entries.delete(fingerprint);
     entries.set(fingerprint, entry);
     dropOldest(entries, maxEntries);
+    suspectsOfTarget.set(
+      targetKey,
+      (suspectsOfTarget.get(targetKey) ?? new Set()).add(fingerprint),
+    );
+  };
+
+  /** Returns the lost targets of which a request is suspected. */
+  const suspectedKeysOf = (fingerprint: string): readonly string[] => {
+    const entry = entries.get(fingerprint);
+    if (!entry) return [];
+    return [...entry.ranForMs.keys()].filter((targetKey) => !entry.cleared.has(targetKey));
+  };
+
+  const record: LossRecord = {
+    losses: () => losses.values(),
+    wasRunningOn: (fingerprint, targetKey) =>
+      entries.get(fingerprint)?.ranForMs.has(targetKey) ?? false,
+    suspectsOf: (targetKey) =>
+      [...(suspectsOfTarget.get(targetKey) ?? [])].filter(
+        (fingerprint) => entries.get(fingerprint)?.cleared.has(targetKey) === false,
+      ),
+    lossCountOf: (fingerprint) => suspectedKeysOf(fingerprint).length,
   };
 
-  /**
-   * Whether two losses may be in the same failure domain; the domain of a loss may still be
-   * unknown.
-   */
-  const mayShareDomain = (left: Loss, right: Loss): boolean =>
-    left.failureDomain === right.failureDomain ||
-    left.failureDomain === '' ||
-    right.failureDomain === '';
-
-  /** Whether a failure of the whole domain, rather than the request, explains a loss. */
-  const isUnrelated = (loss: Loss, ranOn: ReadonlyMap<string, number>): boolean => {
-    let count = 0;
-    losses.forEach((other) => {
-      const isNear = Math.abs(other.atMs - loss.atMs) <= correlationMs;
-      const isOther = !ranOn.has(other.targetKey);
-      if (isNear && isOther && mayShareDomain(loss, other)) count += 1;
-    });
-    return count >= minUnrelatedLosses;
+  const assess = (fingerprint: string): LossAssessment<Loss> => {
+    const suspected = suspectedKeysOf(fingerprint).flatMap((key) => losses.get(key) ?? []);
+    return attribution.assess(fingerprint, suspected, record);
   };
 
-  const countedLosses = ({ ranForMs, cleared }: Entry): readonly Loss[] =>
-    [...ranForMs.keys()]
-      .filter((targetKey) => !cleared.has(targetKey))
-      .flatMap((targetKey) => losses.get(targetKey) ?? [])
-      .filter((loss) => !isUnrelated(loss, ranForMs));
-
-  /**
-   * Counts losses; those within `correlationMs` in one failure domain count once, as they may share
-   * a cause.
-   */
-  const countIndependentLosses = (counted: readonly Loss[]): number =>
-    counted.filter(
-      (loss, index) =>
-        !counted.some((earlier, earlierIndex) => {
-          const isEarlier =
-            earlier.atMs < loss.atMs || (earlier.atMs === loss.atMs && earlierIndex < index);
-          const isSameDomain = earlier.failureDomain === loss.failureDomain;
-          return isEarlier && isSameDomain && loss.atMs - earlier.atMs <= correlationMs;
-        }),
-    ).length;
-
-  const evaluate = (entry: Entry, nowMs: number): QuarantineStatus => {
-    const counted = countedLosses(entry);
+  const evaluate = (fingerprint: string, entry: Entry, nowMs: number): QuarantineStatus => {
+    const { counted, isConclusive } = assess(fingerprint);
     if (counted.length === 0) return clearStatus;
-    if (countIndependentLosses(counted) > 1) {
+    if (isConclusive) {
       const retryAfterMs = Math.max(0, entry.lastCrashAtMs + lifetimeMs - nowMs);
       return { kind: 'quarantined', retryAfterMs };
     }
@@ -170,6 +156,7 @@
   };
 
   const clearSuspicion = (fingerprint: string, targetKeys: readonly string[]) => {
+    verdicts.delete(fingerprint);
     const entry = entries.get(fingerprint);
     if (!entry) return;
     targetKeys.forEach((targetKey) => entry.cleared.add(targetKey));
@@ -194,9 +181,14 @@
 
   return {
     check: (fingerprint, nowMs) => {
+      const verdictUntilMs = verdicts.get(fingerprint) ?? -Infinity;
+      if (verdictUntilMs > nowMs) {
+        return { kind: 'quarantined', retryAfterMs: verdictUntilMs - nowMs };
+      }
+      verdicts.delete(fingerprint);
       const entry = entries.get(fingerprint);
       if (!entry) return clearStatus;
-      if (nowMs - entry.lastCrashAtMs < lifetimeMs) return evaluate(entry, nowMs);
+      if (nowMs - entry.lastCrashAtMs < lifetimeMs) return evaluate(fingerprint, entry, nowMs);
       entries.delete(fingerprint);
       return clearStatus;
     },
@@ -213,17 +205,16 @@
         return undefined;
       }
       const run = removeRun(requestId);
-      const entry = run && entries.get(run.fingerprint);
-      if (!entry) return undefined;
-      const targetKeys = [...entry.ranForMs.keys()].filter((key) => !entry.cleared.has(key));
-      if (targetKeys.length === 0) return undefined;
+      if (!run || outcome === 'not-run') return undefined;
+      const targetKeys = suspectedKeysOf(run.fingerprint);
+      if (targetKeys.length === 0 && !verdicts.has(run.fingerprint)) return undefined;
       clearSuspicion(run.fingerprint, targetKeys);
       return { kind: 'cleared', fingerprint: run.fingerprint, targetKeys };
     },
-    onTargetLost: (target, nowMs): LossUpdate => {
+    onTargetLost: (target, nowMs, ranOn = target): LossUpdate => {
       dropExpiredStopped(nowMs);
       const { targetKey, atMs } = recordLoss(target, nowMs);
-      const lostRuns = removeRunsOf(targetKey);
+      const lostRuns = removeRunsOf(targetKeyOf(ranOn));
       lostRuns.forEach(({ fingerprint, sentAtMs }) =>
         recordCrash(fingerprint, targetKey, nowMs, nowMs - sentAtMs),
       );
@@ -235,19 +226,21 @@
         clearSuspicion(update.fingerprint, update.targetKeys);
         return;
       }
+      if (update.kind === 'quarantined') {
+        verdicts.set(update.fingerprint, nowMs - update.ageMs + lifetimeMs);
+        dropOldest(verdicts, maxEntries);
+        return;
+      }
       const { targetKey, atMs } = recordLoss(update.target, nowMs - update.ageMs);
       update.fingerprints.forEach((fingerprint) => recordCrash(fingerprint, targetKey, atMs, 0));
     },
-    lossesOf: (fingerprint, nowMs) => {
-      const entry = entries.get(fingerprint);
-      if (!entry) return [];
-      return countedLosses(entry).map(({ target, atMs }) => ({
+    lossesOf: (fingerprint, nowMs) =>
+      assess(fingerprint).counted.map(({ target, atMs }) => ({
         kind: 'loss',
         target,
         fingerprints: [fingerprint],
         ageMs: nowMs - atMs,
-      }));
-    },
+      })),
     size: () => entries.size,
   };
 };
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -53,7 +53,10 @@
   type SuspectPermits,
 } from './createSuspectPermits';
 export { createTargetStates, type TargetStates, type TargetView } from './createTargetStates';
+export { IndependentLossAttribution } from './IndependentLossAttribution';
+export { LeadingSuspectAttribution } from './LeadingSuspectAttribution';
 export { LeastInFlightStrategy } from './LeastInFlightStrategy';
+export type { LossAssessment, LossAttribution, LossRecord, RecordedLoss } from './LossAttribution';
 export { PredictedFirstTokenStrategy, type DomainCost } from './PredictedFirstTokenStrategy';
 export {
   targetKeyOf,
@@ -63,7 +66,13 @@
   type Quarantine,
   type QuarantineUpdate,
   type QuarantineStatus,
+  type VerdictUpdate,
 } from './Quarantine';
+export {
+  crashTargetSchema,
+  lossUpdateSchema,
+  quarantineUpdateSchema,
+} from './quarantineUpdateSchema';
 export { RandomStrategy } from './RandomStrategy';
 export { RoundRobinStrategy } from './RoundRobinStrategy';
 export type { RouteContext, RouteStrategy } from './RouteStrategy';
