--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -1,9 +1,9 @@
 import * as clocks from '@comfreydrum/clock';
 import * as telemetry from '@comfreydrum/telemetry';
+import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { createLease, type Lease } from './createLease';
-import { createFakeNetwork, createFakeStore } from './testing/createFakeNetwork';
 
 const test = uvu.suite('controller lease');
 
@@ -30,8 +30,8 @@
 
 /** Starts daemons in order; the first one holds the lease before the others start. */
 const startDaemons = async (addresses: readonly string[]) => {
-  const store = createFakeStore();
-  const network = createFakeNetwork();
+  const store = testing.createFakeStore();
+  const network = testing.createFakeNetwork();
   const log = telemetry.createLog({ level: 'silent', instanceId: 'test' });
   let runCount = 0;
   const start = async (address: string): Promise<Lease> => {
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -2,12 +2,12 @@
 import * as errors from '@comfreydrum/errors';
 import type * as fleet from '@comfreydrum/fleet';
 import * as telemetry from '@comfreydrum/telemetry';
+import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
 import type { ProbeFailure, TargetOrders } from './TargetOrders';
-import { createFakeNetwork } from './testing/createFakeNetwork';
 
 const test = uvu.suite('detection of lost targets');
 
@@ -78,7 +78,7 @@
 
 /** Checks a head with the given probe results of this daemon and of its peers. */
 const checkHead = async (own: Answer, others: readonly Answer[]) => {
-  const network = createFakeNetwork();
+  const network = testing.createFakeNetwork();
   const clock = clocks.createManualClock(10_000);
   const create = (address: string, answer: Answer, peers: readonly string[]) =>
     createHeadCheck({
@@ -110,7 +110,7 @@
     clock: clocks.createManualClock(10_000),
     log,
     orders: createOrders(() => 'silent'),
-    calls: createFakeNetwork().join('self'),
+    calls: testing.createFakeNetwork().join('self'),
     peerAddresses: () => [],
     onReached: () => {},
     onChange: () => {},
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -52,3 +52,5 @@
 export { createProofContext } from './proof/createProofContext';
 export type { Proof, ProofContext, ProofReport } from './proof/ProofReport';
 export type { EventFaultCounts } from './engine/EventFaults';
+export { createFakeNetwork, type FakeNetwork } from './peers/createFakeNetwork';
+export { createFakeStore, type FakeStore } from './platform/createFakeStore';
--- a/packages/formation/src/testing/createFakeNetwork.ts
+++ b/packages/testing/src/platform/createFakeStore.ts
@@ -1,50 +1,5 @@
 import * as errors from '@comfreydrum/errors';
 import type * as objectStore from '@comfreydrum/object-store';
-import type * as peers from '@comfreydrum/peers';
-
-type Handler = Parameters<peers.PeerCalls['handle']>[1];
-
-/** An in-process network of daemons, each of which can be killed or made unresponsive. */
-export interface FakeNetwork {
-  readonly join: (address: string) => peers.PeerCalls;
-  /** Makes calls to the address fail as unreachable. */
-  readonly kill: (address: string) => void;
-  /** Makes calls to the address time out. */
-  readonly makeUnresponsive: (address: string) => void;
-}
-
-/** Creates a network without daemons. */
-export const createFakeNetwork = (): FakeNetwork => {
-  const handlers = new Map<string, Map<string, Handler>>();
-  const silent = new Set<string>();
-
-  const fail = (kind: 'unreachable' | 'timeout', peer: string) =>
-    errors.err<peers.PeerFailure>({ kind, step: 'call', peer, message: kind });
-
-  return {
-    join: (self) => {
-      const own = new Map<string, Handler>();
-      handlers.set(self, own);
-      return {
-        handle: (method, handler) => {
-          own.set(method, handler);
-        },
-        call: async (address, method, params) => {
-          const handler = handlers.get(address)?.get(method);
-          if (silent.has(address)) return fail('timeout', address);
-          if (handler === undefined) return fail('unreachable', address);
-          return errors.ok(await handler(params, self));
-        },
-      };
-    },
-    kill: (address) => {
-      handlers.delete(address);
-    },
-    makeUnresponsive: (address) => {
-      silent.add(address);
-    },
-  };
-};
 
 /** An in-memory object store with fault injection. */
 export interface FakeStore {
