Relay: quarantine requests that crash targets, across the fleet

Cause: on the operators' platform the only bound was maxTargets, which counts the targets of one attempt. An attempt has an id of its own, so nothing linked the attempts of one request, and daemons told each other nothing about them. The quarantine of the stand-alone path was not wired to the relay.

Change: a daemon whose connection breaks checks whether the target's port refuses; the requests that it ran there become suspects. Losses go to other daemons at once and through check-ins with the lease holder. A request that leads in three losses, or is in six, is refused with 503 and Retry-After for ten minutes; a completed run clears it. The holder keeps the verdicts in the store, so that they outlive all daemons.

Why it works: the evidence (content, process gone) is the same at every daemon, so any of them recognises what the others saw.

--- a/apps/comfreydrumctl/src/explainFromLogs.test.ts
+++ b/apps/comfreydrumctl/src/explainFromLogs.test.ts
@@ -42,8 +42,9 @@
   const attempts = [1, 2].map((second) =>
     line(second, { requestId: `r${second}`, step: 'request', fingerprint: 'f1' }),
   );
-  const lines = explainFromLogs('f1', readLogLines(attempts.join('\n')));
-  assert.is(lines.length, 2);
+  const crash = line(3, { step: 'crash', targetId: 'i-1', fingerprints: ['f0', 'f1'] });
+  const lines = explainFromLogs('f1', readLogLines([...attempts, crash].join('\n')));
+  assert.is(lines.length, 3);
 });
 
 test('returns no lines for an unknown id', () => {
--- a/apps/comfreydrumctl/src/explainFromLogs.ts
+++ b/apps/comfreydrumctl/src/explainFromLogs.ts
@@ -57,6 +57,7 @@
     [
       fields.requestId,
       fields.fingerprint,
+      ...(Array.isArray(fields.fingerprints) ? fields.fingerprints : []),
       fields.targetId,
       fields.group,
       fields.groupName,
--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -56,6 +56,7 @@
 const startWaitMs = 1_500;
 const msPerSecond = 1_000;
 const leaseKey = { kind: 'comfreydrum-leases', name: 'formation' } as const;
+const verdictsKey = { kind: 'comfreydrum-quarantines', name: 'requests' } as const;
 
 const createStore = (container: tsyringe.DependencyContainer) => {
   const { store } = container.resolve(relayTokens.settings);
@@ -117,11 +118,45 @@
     failureReporter: {
       suspect: (targetId) =>
         container.resolve(relayTokens.formation).suspect({ targetId, isSilent: false }),
-      confirmLoss: (groupKey) => container.resolve(relayTokens.formation).confirmLoss(groupKey),
+      confirmLoss: async (groupKey) => {
+        const unresponsive = await container
+          .resolve(relayTokens.formation)
+          .findUnresponsive(groupKey);
+        const endedMembers = unresponsive.filter(({ hasEnded }) => hasEnded);
+        return { isLost: unresponsive.length > 0, endedMembers };
+      },
+    },
+    crashes: {
+      calls: container.resolve(relayTokens.calls),
+      runId: container.resolve(relayTokens.runId),
+      peerAddresses: () => container.resolve(relayTokens.lease).contactAddresses(),
+      checkInSoon: () => container.resolve(relayTokens.lease).checkInSoon(),
+      storeClient: container.resolve(relayTokens.store),
+      storeKey: verdictsKey,
+      isHolder: () => container.resolve(relayTokens.lease).state().kind === 'holder',
     },
   });
 };
 
+/** Merges what daemons exchange in check-ins: the fleet's state and the crashes of targets. */
+const createCheckInPayload = (
+  container: tsyringe.DependencyContainer,
+  stateExchange: fleet.FleetStateExchange,
+): formation.CheckInPayload => {
+  const crashExchange = () => container.resolve(relayTokens.relay).crashExchange;
+  return {
+    createRequest: () => ({ ...stateExchange.createRequest(), ...crashExchange().createRequest() }),
+    createResponse: (request) => ({
+      ...stateExchange.createResponse(request),
+      ...crashExchange().createResponse(request),
+    }),
+    applyResponse: (response, askedAt) => {
+      stateExchange.applyResponse(response, askedAt);
+      crashExchange().applyResponse(response);
+    },
+  };
+};
+
 /** Creates the dependency injection container of a relay daemon. Components are created when first resolved. */
 export const createRelayContainer = async (
   daemonSettings: settings.RelaySettings,
@@ -146,6 +181,7 @@
   container.register(relayTokens.log, { useValue: log });
   container.register(relayTokens.hasher, { useValue: await routing.createPrefixHasher() });
   container.register(relayTokens.metrics, { useValue: telemetry.createMetrics() });
+  container.register(relayTokens.runId, { useValue: runId });
   register(relayTokens.platform, createPlatform);
   register(relayTokens.store, createStore);
   register(relayTokens.calls, () =>
@@ -204,7 +240,7 @@
       key: leaseKey,
       runId,
       address: daemonSettings.peers.listen,
-      checkInPayload: stateExchange,
+      checkInPayload: createCheckInPayload(resolver, stateExchange),
       ownLoads: () => resolver.resolve(relayTokens.relay).ownLoads(),
     }),
   );
--- a/apps/comfreydrumd/src/relay/relayTokens.ts
+++ b/apps/comfreydrumd/src/relay/relayTokens.ts
@@ -18,6 +18,7 @@
   clock: createToken<clock.Clock>('clock'),
   log: createToken<telemetry.Log>('log'),
   metrics: createToken<telemetry.Metrics>('metrics'),
+  runId: createToken<string>('run id'),
   hasher: createToken<routing.PrefixHasher>('hasher'),
   platform: createToken<operatorsPlatform.OperatorsPlatform>('platform'),
   store: createToken<objectStore.BudgetedPlatformClient>('store'),
--- a/packages/fleet/src/createFleetStateExchange.ts
+++ b/packages/fleet/src/createFleetStateExchange.ts
@@ -10,9 +10,9 @@
  */
 export interface FleetStateExchange {
   /** Returns the request for the changes since the last response. */
-  readonly createRequest: () => unknown;
+  readonly createRequest: () => Readonly<Record<string, unknown>>;
   /** Returns the response to a request of another daemon. */
-  readonly createResponse: (request: unknown) => unknown;
+  readonly createResponse: (request: unknown) => Readonly<Record<string, unknown>>;
   /** Applies the response to a request that was sent at `askedAt`. */
   readonly applyResponse: (response: unknown, askedAt: clocks.Timestamp) => void;
   /** Whether a recent request got a response. */
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -9,7 +9,7 @@
 import { toOrderResponse } from './toOrderResponse';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
-import { createMemberCheck } from './createMemberCheck';
+import { createMemberCheck, type UnresponsiveMember } from './createMemberCheck';
 import { createOrderTracker } from './createOrderTracker';
 import type { FormationStep } from './FormationStep';
 import { planFormation, type FormationInput } from './planFormation';
@@ -27,8 +27,8 @@
 export interface Formation {
   /** Probes a suspected target, or forwards the suspicion if another daemon is the controller. */
   readonly suspect: (suspicion: Suspicion) => void;
-  /** Probes the members of a silent group, reports unresponsive ones and returns whether there are any. */
-  readonly confirmLoss: (groupKey: string) => Promise<boolean>;
+  /** Probes the members of a silent group, and reports and returns the unresponsive ones. */
+  readonly findUnresponsive: (groupKey: string) => Promise<readonly UnresponsiveMember[]>;
   /** Reports whether orders are so recent that the list may not show their effect yet. */
   readonly hasRecentOrders: () => boolean;
   readonly component: lifecycle.Component;
@@ -280,10 +280,10 @@
 
   return {
     suspect,
-    confirmLoss: async (groupKey) => {
-      const silentIds = await memberCheck.findUnresponsive(groupKey);
-      silentIds.forEach((targetId) => suspect({ targetId, isSilent: true }));
-      return silentIds.length > 0;
+    findUnresponsive: async (groupKey) => {
+      const unresponsive = await memberCheck.findUnresponsive(groupKey);
+      unresponsive.forEach(({ targetId }) => suspect({ targetId, isSilent: true }));
+      return unresponsive;
     },
     hasRecentOrders: () => clock.monotonicMs() - lastOrderAtMs < orderVisibilityMs,
     component: {
--- a/packages/formation/src/createHolderSearch.ts
+++ b/packages/formation/src/createHolderSearch.ts
@@ -11,6 +11,7 @@
 export interface HolderSearch {
   /** Replaces the addresses of other daemons; an empty list is ignored. */
   readonly updatePeers: (addresses: readonly string[]) => void;
+  readonly peerAddresses: () => readonly string[];
   /** Returns a holder that another daemon has reached recently, other than the outdated run `exceptRunId`. */
   readonly find: (exceptRunId: string | undefined) => Promise<Holder | undefined>;
 }
@@ -49,6 +50,7 @@
     updatePeers: (addresses) => {
       if (addresses.length > 0) peerAddresses = addresses;
     },
+    peerAddresses: () => peerAddresses,
     find: async (exceptRunId) => {
       const sampledPeers = peerAddresses
         .map((address) => ({ address, order: random() }))
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -24,6 +24,10 @@
   readonly daemonCount: () => number;
   /** Returns the requests that other daemons have in progress, as recently reported. */
   readonly otherLoads: () => TargetLoads;
+  /** Returns the addresses of some other live daemons, the holder among them. */
+  readonly contactAddresses: () => readonly string[];
+  /** Makes a standby check in with the holder at the next tick. */
+  readonly checkInSoon: () => void;
   /** Returns the addresses of the daemons that have checked in with this one recently. */
   readonly peerAddresses: () => readonly string[];
   readonly component: lifecycle.Component;
@@ -338,6 +342,16 @@
       }
       return clock.monotonicMs() - holderUpdate.atMs < loadsValidityMs ? holderUpdate.loads : {};
     },
+    contactAddresses: () => {
+      if (isHolder()) return samplePeers(address);
+      const holderAddresses = holder === undefined ? [] : [holder.address];
+      const known = new Set([...holderAddresses, ...search.peerAddresses()]);
+      known.delete(address);
+      return [...known];
+    },
+    checkInSoon: () => {
+      if (!isHolder()) nextActionAtMs = 0;
+    },
     peerAddresses: () => pruneDaemons().map((daemon) => daemon.address),
     component: {
       name: 'lease',
--- a/packages/formation/src/createMemberCheck.ts
+++ b/packages/formation/src/createMemberCheck.ts
@@ -2,10 +2,17 @@
 import type * as fleet from '@comfreydrum/fleet';
 import type { TargetOrders } from './TargetOrders';
 
+/** A member of a group that does not respond. */
+export interface UnresponsiveMember {
+  readonly targetId: string;
+  readonly startedAtMs: number;
+  /** Whether its port refuses connections, so that its process has ended. */
+  readonly hasEnded: boolean;
+}
+
 /** Probes the members of a group whose streams have stalled. */
 export interface MemberCheck {
-  /** Returns the ids of the members that do not respond. */
-  readonly findUnresponsive: (groupKey: string) => Promise<readonly string[]>;
+  readonly findUnresponsive: (groupKey: string) => Promise<readonly UnresponsiveMember[]>;
 }
 
 /** Dependencies of the check. */
@@ -22,7 +29,7 @@
 
 interface Check {
   readonly startedAtMs: number;
-  readonly result: Promise<readonly string[]>;
+  readonly result: Promise<readonly UnresponsiveMember[]>;
 }
 
 /** Creates a check without results. */
@@ -30,12 +37,14 @@
   const { clock, targets, orders } = options;
   const checks = new Map<string, Check>();
 
-  const probeMembers = async (groupKey: string): Promise<readonly string[]> => {
+  const probeMembers = async (groupKey: string): Promise<readonly UnresponsiveMember[]> => {
     const group = targets.groups().find(({ key }) => key === groupKey);
     const answers = await Promise.all(
       (group?.members ?? []).map(async (member) => {
-        const { ok } = await orders.probe(member, probeTimeoutMs);
-        return ok ? [] : [member.id];
+        const probed = await orders.probe(member, probeTimeoutMs);
+        if (probed.ok) return [];
+        const { id: targetId, startedAtMs } = member;
+        return [{ targetId, startedAtMs, hasEnded: probed.error.kind === 'refused' }];
       }),
     );
     return answers.flat();
--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -11,6 +11,7 @@
   | 'no-group'
   | 'no-target'
   | 'overload'
+  | 'quarantined'
   | 'targets-refused'
   | 'target-failed'
   | 'timeout'
@@ -44,3 +45,11 @@
   ran: 'unknown',
   message,
 });
+
+/** Creates the refusal of a request that is quarantined because it crashes targets. */
+export const createQuarantineRefusal = (runCount: number, retryAfterMs: number): Refusal => {
+  const message = 'the request is quarantined: targets ended while they ran it';
+  return runCount === 0
+    ? createNotRunRefusal('quarantined', message, retryAfterMs)
+    : createFailureRefusal('quarantined', message);
+};
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -4,19 +4,27 @@
 import type * as targetClient from '@comfreydrum/target-client';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { CallerWire } from './CallerRequest';
-import type { CrashMonitor } from './crashes/createCrashMonitor';
+import type { CrashMonitor, EndedMember } from './crashes/createCrashMonitor';
 import type { RelayMetrics } from './createRelayMetrics';
 import type { StallMonitor } from './createStallMonitor';
 import type { TargetTracker } from './createTargetTracker';
 import type { TargetDirectory } from './createTargetDirectory';
 import type { TargetWire } from './TargetWire';
 
+/** The result of probing the members of a group. */
+export interface LossConfirmation {
+  /** Whether a member does not respond. */
+  readonly isLost: boolean;
+  /** The members whose processes have ended. */
+  readonly endedMembers: readonly EndedMember[];
+}
+
 /** Reports targets that fail requests and checks silent groups for lost members. */
 export interface FailureReporter {
   /** Reports a target that may be lost to the component that replaces group members. */
   readonly suspect: (targetId: string) => void;
-  /** Probes the members of a silent group; resolves with true when one does not respond. */
-  readonly confirmLoss: (groupKey: string) => Promise<boolean>;
+  /** Probes the members of a silent group. */
+  readonly confirmLoss: (groupKey: string) => Promise<LossConfirmation>;
 }
 
 /** The services that request handling depends on. */
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -150,7 +150,8 @@
 
   const checkMembers = async (groupKey: string) => {
     const { eventCount } = progress.read();
-    const isLost = await dependencies.failureReporter.confirmLoss(groupKey);
+    const { isLost, endedMembers } = await dependencies.failureReporter.confirmLoss(groupKey);
+    if (endedMembers.length > 0) dependencies.crashMonitor.onMembersEnded(candidate, endedMembers);
     if (isLost && progress.read().eventCount === eventCount) abortForMove('a member is silent');
   };
 
@@ -221,7 +222,7 @@
     if (answer.statusCode !== 200) {
       answer.body.discard();
       const message = `the target answered ${answer.statusCode}`;
-      return fail({ ran: 'unknown', message, wasRejected: false });
+      return fail({ ran: 'unknown', message, wasRejected: false, isAnswer: true });
     }
     const fault = await relayEvents(dependencies, context, attempt, sent.matched);
     if (fault !== undefined) {
--- a/packages/relay/src/chooseTarget.test.ts
+++ b/packages/relay/src/chooseTarget.test.ts
@@ -12,6 +12,8 @@
 const candidate = (key: string, fields: Partial<Candidate> = {}): Candidate => ({
   key,
   targetId: key,
+  startedAtMs: 1,
+  failureDomain: 'a',
   address: '127.0.0.1:1',
   groupKey: key,
   isSameDomain: true,
--- a/packages/relay/src/chooseTarget.ts
+++ b/packages/relay/src/chooseTarget.ts
@@ -5,6 +5,9 @@
   /** Identifies the run of the target. */
   readonly key: string;
   readonly targetId: string;
+  /** Start time of the run. */
+  readonly startedAtMs: number;
+  readonly failureDomain: string;
   readonly address: string;
   /** Identifies the group whose head the target is. */
   readonly groupKey: string | undefined;
--- /dev/null
+++ b/packages/relay/src/crashes/createCrashMonitor.test.ts
@@ -0,0 +1,155 @@
+import * as clocks from '@comfreydrum/clock';
+import type * as routing from '@comfreydrum/routing';
+import * as telemetry from '@comfreydrum/telemetry';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { createTargetTracker } from '../createTargetTracker';
+import { createCrashMonitor, type MonitoredRun } from './createCrashMonitor';
+
+const test = uvu.suite('crash monitor');
+
+const stats = createTargetTracker().read('any', 0);
+
+const createRun = (fingerprint: string, targetId: string, count = 1): MonitoredRun => ({
+  runId: `${fingerprint}/${targetId}/${count}`,
+  fingerprint,
+  candidate: {
+    key: `${targetId}@1`,
+    targetId,
+    startedAtMs: 1,
+    failureDomain: 'a',
+    address: '127.0.0.1:1',
+    groupKey: undefined,
+    isSameDomain: true,
+    slots: 4,
+    expectedMs: 50,
+    otherInFlight: 0,
+    stats,
+  },
+});
+
+/** Creates a monitor for which all targets have ended, unless `hasEnded` says otherwise. */
+const createMonitor = (hasEnded: () => Promise<boolean> = async () => true) => {
+  const published: routing.QuarantineUpdate[] = [];
+  const clock = clocks.createManualClock();
+  const monitor = createCrashMonitor({
+    clock,
+    log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
+    processCheck: { hasEnded },
+    crashedRuns: telemetry.createMetrics().counter('crashed_runs', 'Crashed runs.', []),
+    publish: (update) => published.push(update),
+  });
+  return { monitor, published, clock };
+};
+
+const settle = () =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+test('quarantines a request whose third target ended, and reports it to other daemons', async () => {
+  const { monitor, published } = createMonitor();
+  for (const targetId of ['t1', 't2', 't3']) {
+    assert.is.not(monitor.check('f').kind, 'quarantined');
+    const run = createRun('f', targetId);
+    monitor.onDispatch(run);
+    await monitor.onEnd(run, 'broken');
+    await settle();
+  }
+  assert.is(monitor.check('f').kind, 'quarantined');
+  assert.equal(
+    published.map(({ kind }) => kind),
+    ['loss', 'loss', 'loss', 'quarantined'],
+  );
+  assert.is(monitor.verdicts().length, 1);
+});
+
+test('suspects no request whose target still listens after its connection broke', async () => {
+  const { monitor, published } = createMonitor(async () => false);
+  for (const targetId of ['t1', 't2', 't3', 't4']) {
+    const run = createRun('f', targetId);
+    monitor.onDispatch(run);
+    await monitor.onEnd(run, 'broken');
+    await settle();
+  }
+  assert.is(monitor.check('f').kind, 'clear');
+  assert.equal(published, []);
+});
+
+test('delays only the retry of a request that was on a lost target before', async () => {
+  let release = (_hasEnded: boolean) => {};
+  const { monitor } = createMonitor(
+    () =>
+      new Promise((resolve) => {
+        release = resolve;
+      }),
+  );
+  const first = createRun('f', 't1');
+  monitor.onDispatch(first);
+  await monitor.onEnd(first, 'broken');
+  release(true);
+  await settle();
+  const second = createRun('f', 't2');
+  monitor.onDispatch(second);
+  let isOver = false;
+  const ended = monitor.onEnd(second, 'broken').then(() => {
+    isOver = true;
+  });
+  await settle();
+  assert.not(isOver);
+  release(true);
+  await ended;
+});
+
+test('keeps a request quarantined when another one reaches as many losses', async () => {
+  const { monitor } = createMonitor();
+  const lose = async (targetId: string, fingerprints: readonly string[]) => {
+    const runs = fingerprints.map((fingerprint) => createRun(fingerprint, targetId));
+    runs.forEach(monitor.onDispatch);
+    await monitor.onEnd(runs[0]!, 'broken');
+    await settle();
+  };
+  await lose('t1', ['crashing', 'beside']);
+  await lose('t2', ['crashing', 'beside']);
+  await lose('t3', ['crashing']);
+  assert.is(monitor.check('crashing').kind, 'quarantined');
+  await lose('t4', ['beside']);
+  assert.is(monitor.check('crashing').kind, 'quarantined');
+  assert.is(monitor.check('beside').kind, 'suspect');
+});
+
+test('lifts a verdict everywhere when a run completes', async () => {
+  const { monitor, published } = createMonitor();
+  const run = createRun('f', 't1');
+  monitor.onDispatch(run);
+  monitor.applyUpdates([{ kind: 'quarantined', fingerprint: 'f', ageMs: 0 }]);
+  assert.is(monitor.check('f').kind, 'quarantined');
+  await monitor.onEnd(run, 'completed');
+  assert.is(monitor.check('f').kind, 'clear');
+  assert.equal(monitor.verdicts(), []);
+  const other = createMonitor();
+  other.monitor.applyUpdates([{ kind: 'quarantined', fingerprint: 'f', ageMs: 0 }]);
+  other.monitor.applyUpdates(published);
+  assert.is(other.monitor.check('f').kind, 'clear');
+});
+
+test('suspects the requests on a group of which a member ended', () => {
+  const { monitor, published } = createMonitor();
+  const run = createRun('f', 'head');
+  monitor.onDispatch(run);
+  const member = { targetId: 'member', startedAtMs: 2 };
+  monitor.onMembersEnded(run.candidate, [member]);
+  monitor.onMembersEnded(run.candidate, [member]);
+  assert.is(monitor.check('f').kind, 'suspect');
+  assert.is(published.length, 1);
+});
+
+test('forgets a verdict after its lifetime', () => {
+  const { monitor, clock } = createMonitor();
+  monitor.applyUpdates([{ kind: 'quarantined', fingerprint: 'f', ageMs: 0 }]);
+  clock.advance(600_000);
+  assert.is(monitor.check('f').kind, 'clear');
+  assert.equal(monitor.verdicts(), []);
+});
+
+test.run();
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -1,48 +1,166 @@
+import type * as clocks from '@comfreydrum/clock';
+import * as routing from '@comfreydrum/routing';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { Candidate } from '../chooseTarget';
 import type { ProcessCheck } from './createProcessCheck';
 
 /** One run of a request on a target. */
 export interface MonitoredRun {
-  readonly requestId: string | undefined;
+  /** Unique in this daemon. */
+  readonly runId: string;
   readonly fingerprint: string;
   readonly candidate: Candidate;
 }
 
-/** Finds out which requests were running on targets whose processes end. */
+/**
+ * How a run ended.
+ *
+ * - `completed`: the target gave a whole answer.
+ * - `not-run`: the target did not run the request.
+ * - `broken`: the connection broke.
+ * - `stopped`: this daemon ended the run.
+ */
+export type RunEnd = 'completed' | 'not-run' | 'broken' | 'stopped';
+
+/** A member of a group whose process has ended. */
+export interface EndedMember {
+  readonly targetId: string;
+  readonly startedAtMs: number;
+}
+
+/** When a request was quarantined, on the monotonic clock. */
+export interface Verdict {
+  readonly fingerprint: string;
+  readonly atMs: number;
+}
+
+/** Finds the requests that crash the targets on which they run, and quarantines them. */
 export interface CrashMonitor {
-  /** Checks the target of a run whose connection broke. */
-  readonly onBroken: (run: MonitoredRun) => void;
+  readonly check: (fingerprint: string) => routing.QuarantineStatus;
+  readonly onDispatch: (run: MonitoredRun) => void;
+  /**
+   * Records the end of a run. After a broken run of a request that was on a lost target before, it resolves only
+   * once it is known whether this target has ended too.
+   */
+  readonly onEnd: (run: MonitoredRun, end: RunEnd) => Promise<void>;
+  /** Records that members of a group have ended while it was running requests. */
+  readonly onMembersEnded: (head: Candidate, members: readonly EndedMember[]) => void;
+  /** Applies updates of other daemons. */
+  readonly applyUpdates: (updates: readonly routing.QuarantineUpdate[]) => void;
+  /** Returns the quarantined requests known to this daemon. */
+  readonly verdicts: () => readonly Verdict[];
 }
 
 /** Dependencies of the monitor. */
 export interface CrashMonitorOptions {
+  readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
   readonly processCheck: ProcessCheck;
-  readonly losses: telemetry.Counter;
+  /** Counts the runs whose target ended meanwhile. */
+  readonly crashedRuns: telemetry.Counter;
+  /** Sends an update to the other daemons. */
+  readonly publish: (update: routing.QuarantineUpdate) => void;
 }
 
-/** Creates a monitor that logs the requests that targets were running when they ended. */
-export const createCrashMonitor = ({
-  log,
-  processCheck,
-  losses,
-}: CrashMonitorOptions): CrashMonitor => ({
-  onBroken: ({ requestId, fingerprint, candidate }) => {
-    void processCheck.hasEnded(candidate).then((hasEnded) => {
-      if (!hasEnded) return;
-      losses.add({});
-      log.info(
-        {
-          requestId,
-          step: 'crash',
-          fingerprint,
-          targetId: candidate.targetId,
-          group: candidate.groupKey,
-          peer: candidate.address,
-        },
-        'target ended while it ran the request',
+/** How long a request stays quarantined. */
+export const quarantineLifetimeMs = 600_000;
+/** The process of a target may end this long after this daemon has closed its connection. */
+const stoppedRunWindowMs = 1_000;
+
+const crashTargetOf = ({
+  targetId,
+  startedAtMs,
+  failureDomain,
+}: Candidate): routing.CrashTarget => ({ targetId, generation: startedAtMs, failureDomain });
+
+/** Creates a monitor without recorded crashes. */
+export const createCrashMonitor = (options: CrashMonitorOptions): CrashMonitor => {
+  const { clock, log, processCheck, publish } = options;
+  const quarantine = routing.createQuarantine({
+    lifetimeMs: quarantineLifetimeMs,
+    stoppedRunWindowMs,
+    attribution: new routing.LeadingSuspectAttribution(),
+  });
+  const verdictAtMs = new Map<string, number>();
+
+  /** Makes a quarantine final, so that what is learned later of other requests does not lift it. */
+  const reviewSuspects = (fingerprints: readonly string[]) =>
+    fingerprints.forEach((fingerprint) => {
+      const nowMs = clock.monotonicMs();
+      if (verdictAtMs.has(fingerprint)) return;
+      if (quarantine.check(fingerprint, nowMs).kind !== 'quarantined') return;
+      const targetIds = quarantine.lossesOf(fingerprint, nowMs).map((loss) => loss.target.targetId);
+      log.warn(
+        { step: 'quarantine', fingerprint, targetIds },
+        'quarantined a request that crashes targets',
       );
+      const verdict = { kind: 'quarantined', fingerprint, ageMs: 0 } as const;
+      verdictAtMs.set(fingerprint, nowMs);
+      quarantine.onUpdate(verdict, nowMs);
+      publish(verdict);
     });
-  },
-});
+
+  const recordLoss = (lost: routing.CrashTarget, ranOn: routing.CrashTarget) => {
+    const update = quarantine.onTargetLost(lost, clock.monotonicMs(), ranOn);
+    const { fingerprints } = update;
+    if (fingerprints.length === 0) return;
+    options.crashedRuns.add({}, fingerprints.length);
+    const { targetId } = lost;
+    log.info(
+      { step: 'crash', targetId, headId: ranOn.targetId, fingerprints },
+      'target ended while it ran requests',
+    );
+    publish(update);
+    reviewSuspects(fingerprints);
+  };
+
+  const checkTarget = async (candidate: Candidate) => {
+    if (!(await processCheck.hasEnded(candidate))) return;
+    const target = crashTargetOf(candidate);
+    recordLoss(target, target);
+  };
+
+  const applyUpdate = (update: routing.QuarantineUpdate) => {
+    const nowMs = clock.monotonicMs();
+    quarantine.onUpdate(update, nowMs);
+    if (update.kind === 'cleared') verdictAtMs.delete(update.fingerprint);
+    else if (update.kind === 'loss') reviewSuspects(update.fingerprints);
+    else verdictAtMs.set(update.fingerprint, nowMs - update.ageMs);
+  };
+
+  return {
+    check: (fingerprint) => {
+      const status = quarantine.check(fingerprint, clock.monotonicMs());
+      if (status.kind === 'quarantined') reviewSuspects([fingerprint]);
+      return status;
+    },
+    onDispatch: ({ runId, fingerprint, candidate }) =>
+      quarantine.onDispatch(runId, fingerprint, crashTargetOf(candidate), clock.monotonicMs()),
+    onEnd: async ({ runId, fingerprint, candidate }, end) => {
+      const nowMs = clock.monotonicMs();
+      const cleared = quarantine.onEnd(runId, end === 'broken' ? 'stopped' : end, nowMs);
+      if (cleared !== undefined) {
+        log.info({ step: 'quarantine', fingerprint }, 'cleared a request that completed');
+        verdictAtMs.delete(fingerprint);
+        publish(cleared);
+      }
+      if (end !== 'broken') return;
+      const checked = checkTarget(candidate);
+      if (quarantine.check(fingerprint, nowMs).kind !== 'clear') await checked;
+    },
+    onMembersEnded: (head, members) =>
+      members.forEach(({ targetId, startedAtMs }) => {
+        const { failureDomain } = head;
+        const member = { targetId, generation: startedAtMs, failureDomain };
+        recordLoss(member, crashTargetOf(head));
+      }),
+    applyUpdates: (updates) => updates.forEach(applyUpdate),
+    verdicts: () => {
+      const nowMs = clock.monotonicMs();
+      verdictAtMs.forEach((atMs, fingerprint) => {
+        if (nowMs - atMs >= quarantineLifetimeMs) verdictAtMs.delete(fingerprint);
+      });
+      return [...verdictAtMs].map(([fingerprint, atMs]) => ({ fingerprint, atMs }));
+    },
+  };
+};
--- /dev/null
+++ b/packages/relay/src/crashes/createMonitoredRun.ts
@@ -0,0 +1,18 @@
+import { randomUUID } from 'node:crypto';
+import type { Candidate } from '../chooseTarget';
+import type { RequestContext } from '../RequestContext';
+import type { SendFailure } from '../sendToTarget';
+import type { MonitoredRun, RunEnd } from './createCrashMonitor';
+
+/** Creates a run of a request on a target, with an id of its own. */
+export const createMonitoredRun = (
+  { fingerprint }: RequestContext,
+  candidate: Candidate,
+): MonitoredRun => ({ runId: randomUUID(), fingerprint, candidate });
+
+/** Returns how a failed run ended. */
+export const endOfFailure = ({ ran, wasBroken, isAnswer }: SendFailure): RunEnd => {
+  if (ran === 'not-run') return 'not-run';
+  if (isAnswer) return 'completed';
+  return wasBroken ? 'broken' : 'stopped';
+};
--- /dev/null
+++ b/packages/relay/src/crashes/quarantinedRequests.test.ts
@@ -0,0 +1,77 @@
+import type * as http from 'node:http';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { call } from '../testing/callers';
+import { createTestRelay, type TestRelay } from '../testing/createTestRelay';
+import { beginStream, eventOf, eventsOf } from '../testing/streams';
+
+const test = uvu.suite('quarantined requests');
+
+const crashingBody = 'ends the process';
+const targetIds = ['t1', 't2', 't3', 't4', 't5'];
+const crashLimit = 3;
+
+const readBody = async (request: http.IncomingMessage) => {
+  let text = '';
+  for await (const chunk of request) text += String(chunk);
+  return text;
+};
+
+/** Starts a relay before targets that end when they run the crashing request. */
+const withCrashingTargets = async (
+  kind: 'stream' | 'non-idempotent' | 'idempotent',
+  use: (relay: TestRelay, crashedIds: readonly string[]) => Promise<void>,
+) => {
+  const crashedIds: string[] = [];
+  const ends: { target: (id: string) => void } = { target: () => {} };
+  const createListener =
+    (id: string): http.RequestListener =>
+    (request, response) => {
+      void readBody(request).then((body) => {
+        if (kind === 'stream') {
+          beginStream(request, response, id);
+          response.write(eventOf(1));
+        }
+        if (body === crashingBody) {
+          crashedIds.push(id);
+          ends.target(id);
+        } else if (kind === 'stream') response.end(eventsOf(2, 3));
+        else response.writeHead(200, { 'x-id': String(request.headers['x-id']) }).end('done');
+      });
+    };
+  const relay = await createTestRelay({
+    route: { kind, maxTargets: kind === 'non-idempotent' ? 1 : 2 },
+    targets: targetIds.map((id) => ({ id, listener: createListener(id) })),
+  });
+  ends.target = relay.endTarget;
+  try {
+    await use(relay, crashedIds);
+  } finally {
+    await relay.stop();
+  }
+};
+
+(['stream', 'non-idempotent', 'idempotent'] as const).forEach((kind) =>
+  test(`refuses a crashing ${kind} request with a retry delay after three targets`, () =>
+    withCrashingTargets(kind, async ({ url }, crashedIds) => {
+      const answers = [];
+      for (let count = 0; count < 6; count += 1) {
+        answers.push(await call(url, { body: crashingBody }));
+      }
+      const last = answers.at(-1)!;
+      assert.is(crashedIds.length, crashLimit);
+      assert.is(last.status, 503);
+      assert.match(last.text, '"cause":"quarantined","ran":"not-run"');
+      assert.ok(Number(last.headers['retry-after']) > 0);
+      assert.is((await call(url, { body: 'another request' })).status, 200);
+    })),
+);
+
+test('does not call a crashing request not run in the attempt in which it is quarantined', () =>
+  withCrashingTargets('idempotent', async ({ url }, crashedIds) => {
+    const answers = [];
+    while (crashedIds.length < crashLimit) answers.push(await call(url, { body: crashingBody }));
+    assert.is(answers.at(-1)!.status, 502);
+  }));
+
+test.run();
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -1,6 +1,8 @@
 import type * as clocks from '@comfreydrum/clock';
 import type * as fleet from '@comfreydrum/fleet';
 import type * as lifecycle from '@comfreydrum/lifecycle';
+import type * as objectStore from '@comfreydrum/object-store';
+import type * as peers from '@comfreydrum/peers';
 import * as routing from '@comfreydrum/routing';
 import * as targetClient from '@comfreydrum/target-client';
 import type * as telemetry from '@comfreydrum/telemetry';
@@ -10,8 +12,10 @@
   type CallerListener,
   type CallerListenerOptions,
 } from './createCallerListener';
+import { createCrashExchange, type CrashExchange } from './crashes/createCrashExchange';
 import { createCrashMonitor } from './crashes/createCrashMonitor';
 import { createProcessCheck } from './crashes/createProcessCheck';
+import { createVerdictStore } from './crashes/createVerdictStore';
 import { createRelayMetrics } from './createRelayMetrics';
 import { createStallMonitor } from './createStallMonitor';
 import { createTargetTracker } from './createTargetTracker';
@@ -19,6 +23,20 @@
 import type { RelayDependencies, FailureReporter } from './RelayDependencies';
 import type { TargetWire } from './TargetWire';
 
+/** How a relay shares what it knows of requests that crash targets. */
+export interface CrashOptions {
+  readonly calls: peers.PeerCalls;
+  /** Identifies this run of this daemon. */
+  readonly runId: string;
+  /** Returns the addresses of some other live daemons. */
+  readonly peerAddresses: () => readonly string[];
+  readonly checkInSoon: () => void;
+  readonly storeClient: objectStore.PlatformClient;
+  readonly storeKey: objectStore.ObjectKey;
+  /** Whether this daemon holds the lease. */
+  readonly isHolder: () => boolean;
+}
+
 /** The settings and dependencies of a relay. */
 export interface RelayOptions extends CallerListenerOptions {
   readonly failureDomain: string;
@@ -41,6 +59,7 @@
   readonly fleetRetryReserve: number;
   readonly failureReporter: FailureReporter;
   readonly hasher: routing.PrefixHasher;
+  readonly crashes: CrashOptions;
 }
 
 /** Serves callers' requests and reports readiness and load. */
@@ -51,6 +70,7 @@
   readonly hasReceivedRequests: () => boolean;
   /** Returns the requests that this daemon has in progress, by run of a target. */
   readonly ownLoads: () => Readonly<Record<string, number>>;
+  readonly crashExchange: CrashExchange;
 }
 
 /** Usable part of the fleet's retry reserve; the rest covers killed daemons, which restart and use their share twice. */
@@ -78,6 +98,30 @@
     reserve: ownReserve(),
   });
   const metrics = createRelayMetrics(options.metrics);
+  const crashExchange = createCrashExchange({ ...options.crashes, clock });
+  const crashMonitor = createCrashMonitor({
+    clock,
+    log,
+    processCheck: createProcessCheck({ clock, localAddress: options.localAddress }),
+    crashedRuns: metrics.crashedRuns,
+    publish: crashExchange.publish,
+  });
+  crashExchange.onUpdates(crashMonitor.applyUpdates);
+  const verdictStore = createVerdictStore({
+    client: options.crashes.storeClient,
+    key: options.crashes.storeKey,
+    isHolder: options.crashes.isHolder,
+    clock,
+    log,
+    verdicts: crashMonitor.verdicts,
+    onLoaded: (verdicts) =>
+      verdicts.forEach(({ fingerprint, atMs }) => {
+        const ageMs = clock.monotonicMs() - atMs;
+        const verdict = { kind: 'quarantined', fingerprint, ageMs } as const;
+        crashMonitor.applyUpdates([verdict]);
+        crashExchange.publish(verdict);
+      }),
+  });
   let reserveTimer: NodeJS.Timeout | undefined;
   const dependencies: RelayDependencies = {
     clock,
@@ -101,11 +145,7 @@
     keyValidityMs: options.keyValidityMs,
     failureReporter: options.failureReporter,
     hasher: options.hasher,
-    crashMonitor: createCrashMonitor({
-      log,
-      processCheck: createProcessCheck({ clock, localAddress: options.localAddress }),
-      losses: metrics.crashedRuns,
-    }),
+    crashMonitor,
   };
   const callerListener = createCallerListener(dependencies, options);
   let lastReady: boolean | undefined;
@@ -130,12 +170,14 @@
   const children: readonly lifecycle.Component[] = [
     stallMonitor.component,
     callerListener.component,
+    verdictStore,
   ];
   return {
     ...callerListener,
     readiness,
     hasReceivedRequests: callerListener.hasReceivedRequests,
     ownLoads: targetTracker.loads,
+    crashExchange,
     component: {
       name: 'relay',
       start: async () => {
@@ -145,6 +187,7 @@
       stop: async () => {
         clearInterval(reserveTimer);
         await callerListener.component.stop?.();
+        await verdictStore.stop?.();
         await stallMonitor.component.stop?.();
         await Promise.all([client.close(), singleUseClient.close()]);
       },
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -69,6 +69,8 @@
       ...facts,
       key,
       targetId: target.id,
+      startedAtMs: target.startedAtMs,
+      failureDomain: target.failureDomain,
       address: target.address,
       otherInFlight: otherLoads[key] ?? 0,
       isSameDomain: target.failureDomain === failureDomain,
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,5 +1,5 @@
 export type { CallerRequest, CallerWire } from './CallerRequest';
 export type { ResponseMetadata, Dispatch, TargetWire } from './TargetWire';
-export type { FailureReporter } from './RelayDependencies';
+export type { FailureReporter, LossConfirmation } from './RelayDependencies';
 export { endToEndHeaders } from './endToEndHeaders';
-export { createRelay, type Relay, type RelayOptions } from './createRelay';
+export { createRelay, type CrashOptions, type Relay, type RelayOptions } from './createRelay';
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -19,6 +19,8 @@
   readonly wasRejected: boolean;
   /** Whether the connection broke after the request was sent, and not because this daemon aborted it. */
   readonly wasBroken?: boolean;
+  /** Whether the target gave a whole answer that is no result. */
+  readonly isAnswer?: boolean;
   readonly faultyTargetId?: string | undefined;
 }
 
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -1,8 +1,10 @@
-import { attemptExchange, type CompleteResponse } from './attemptExchange';
+import { attemptExchange, type CompleteResponse, type ExchangeResult } from './attemptExchange';
 import { chooseTarget, type Candidate } from './chooseTarget';
+import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
+import type { RunEnd } from './crashes/createCrashMonitor';
 import { makeCloseDelimited } from './makeCloseDelimited';
 import { refuseUnverifiedKey } from './refuseUnverifiedKey';
-import { createNotRunRefusal, createFailureRefusal } from './Refusal';
+import { createNotRunRefusal, createFailureRefusal, createQuarantineRefusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import type { SendFailure } from './sendToTarget';
@@ -25,12 +27,18 @@
   response.end(body);
 };
 
+const endOfExchange = (result: ExchangeResult): RunEnd => {
+  if (result.kind === 'failed') return endOfFailure(result.failure);
+  // The end of a close-delimited body may also be the end of the process.
+  return result.answer.isCloseDelimited ? 'broken' : 'completed';
+};
+
 /** Serves a request with a non-streaming response; tries targets in turn, as far as the route kind allows retries. */
 export const serveExchange = async (
   dependencies: RelayDependencies,
   context: RequestContext,
 ): Promise<ServeResult> => {
-  const { clock, retryBudget, log } = dependencies;
+  const { clock, retryBudget, log, crashMonitor } = dependencies;
   const { route, request, service } = context;
   const isIdempotent = route.kind === 'idempotent';
   const tried = new Set<string>();
@@ -81,6 +89,10 @@
   for (;;) {
     const nowMs = clock.monotonicMs();
     if (!context.isStillAuthorized()) return refuseUnverifiedKey(runCount);
+    const status = crashMonitor.check(context.fingerprint);
+    if (status.kind === 'quarantined') {
+      return { kind: 'refused', refusal: createQuarantineRefusal(runCount, status.retryAfterMs) };
+    }
     const candidate = choose(nowMs);
     if (candidate === undefined) return createFinalResult();
     if (tried.size > 0 && !mayRetry(nowMs, candidate)) return createFinalResult();
@@ -102,7 +114,10 @@
       service: service.name,
       reason: tried.size === 1 ? 'first' : 'retry',
     });
+    const run = createMonitoredRun(context, candidate);
+    crashMonitor.onDispatch(run);
     const result = await attemptExchange(dependencies, context, candidate, patienceMs);
+    await crashMonitor.onEnd(run, endOfExchange(result));
     if (context.callerDisconnected.aborted) return { kind: 'caller-gone' };
     if (result.kind === 'answered') {
       const { answer } = result;
@@ -135,14 +150,6 @@
       },
       failure.message,
     );
-    if (failure.wasBroken) {
-      const { requestId } = request;
-      dependencies.crashMonitor.onBroken({
-        requestId,
-        fingerprint: context.fingerprint,
-        candidate,
-      });
-    }
     if (failure.ran === 'unknown' && !isIdempotent) return createFinalResult();
   }
 };
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,9 +1,16 @@
 import type * as routing from '@comfreydrum/routing';
 import { attemptStream, type StreamResult } from './attemptStream';
 import { chooseTarget, hasFreeSlot, utilizationOf, type Candidate } from './chooseTarget';
+import type { RunEnd } from './crashes/createCrashMonitor';
+import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
 import { createStreamProgress } from './createStreamProgress';
 import { refuseUnverifiedKey } from './refuseUnverifiedKey';
-import { createNotRunRefusal, createFailureRefusal, type Refusal } from './Refusal';
+import {
+  createNotRunRefusal,
+  createFailureRefusal,
+  createQuarantineRefusal,
+  type Refusal,
+} from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import type { ServeResult } from './ServeResult';
@@ -19,12 +26,18 @@
 const fullRetryAfterMs = 1_200;
 const minSendBudgetMs = 20;
 
+const endOfStream = (result: StreamResult): RunEnd => {
+  if (result.kind === 'failed') return endOfFailure(result.failure);
+  // The end of a close-delimited stream may also be the end of the process.
+  return result.isCloseDelimited ? 'broken' : 'completed';
+};
+
 /** Serves a request with a streaming response; resumes the stream at another head when a run fails. */
 export const serveStream = async (
   dependencies: RelayDependencies,
   context: RequestContext,
 ): Promise<ServeResult> => {
-  const { clock, targetTracker, log, retryBudget } = dependencies;
+  const { clock, targetTracker, log, retryBudget, crashMonitor } = dependencies;
   const { route, request, service, response } = context;
   const progress = createStreamProgress(request.lastEventId);
   const tried = new Set<string>();
@@ -99,6 +112,10 @@
   for (;;) {
     const nowMs = clock.monotonicMs();
     if (!context.isStillAuthorized()) return refuseUnverifiedKey(runCount);
+    const status = crashMonitor.check(context.fingerprint);
+    if (status.kind === 'quarantined') {
+      return { kind: 'refused', refusal: createQuarantineRefusal(runCount, status.retryAfterMs) };
+    }
     const candidate = choose(nowMs);
     if (candidate === undefined) return { kind: 'refused', refusal: createRefusal() };
     const isRetry = tried.size > 0;
@@ -136,7 +153,10 @@
       service: service.name,
       reason: isRetry ? 'retry' : 'first',
     });
+    const run = createMonitoredRun(context, candidate);
+    crashMonitor.onDispatch(run);
     const result = await attemptStream(dependencies, context, { candidate, progress, mayMove });
+    const checked = crashMonitor.onEnd(run, endOfStream(result));
     if (context.callerDisconnected.aborted) return { kind: 'caller-gone' };
     if (result.kind === 'complete') {
       const isFramed = response.headersSent && response.useChunkedEncodingByDefault;
@@ -158,14 +178,7 @@
       };
     }
     recordFailure(candidate, result, nowMs);
-    if (result.failure.wasBroken) {
-      const { requestId } = request;
-      dependencies.crashMonitor.onBroken({
-        requestId,
-        fingerprint: context.fingerprint,
-        candidate,
-      });
-    }
+    await checked;
     // The timer may abort a run just before the monotonic clock reaches the deadline.
     if (result.abortedFor === 'time-limit') {
       return { kind: 'refused', refusal: createFailureRefusal('timeout', message) };
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -4,6 +4,7 @@
 import * as fleet from '@comfreydrum/fleet';
 import * as routing from '@comfreydrum/routing';
 import * as telemetry from '@comfreydrum/telemetry';
+import * as testing from '@comfreydrum/testing';
 import * as relay from '../index';
 
 /** A target with a real HTTP listener. */
@@ -28,6 +29,8 @@
   readonly url: string;
   readonly relay: relay.Relay;
   readonly suspected: readonly string[];
+  /** Ends the process of a target: its connections break and its port refuses new ones. */
+  readonly endTarget: (id: string) => void;
   readonly stop: () => Promise<void>;
 }
 
@@ -160,11 +163,11 @@
 export const createTestRelay = async (options: TestRelayOptions): Promise<TestRelay> => {
   const plan = createPlan(options);
   const isStream = plan.routes[0]!.kind === 'stream';
-  const servers: http.Server[] = [];
+  const servers = new Map<string, http.Server>();
   const targets = new Map<string, fleet.Target>();
   for (const [index, { id, listener }] of options.targets.entries()) {
     const { server, port } = await listen(listener);
-    servers.push(server);
+    servers.set(id, server);
     targets.set(id, {
       id,
       startedAtMs: 1,
@@ -225,7 +228,16 @@
     hasher: await routing.createPrefixHasher(),
     failureReporter: {
       suspect: (targetId) => suspected.push(targetId),
-      confirmLoss: async () => options.confirmLoss?.() ?? false,
+      confirmLoss: async () => ({ isLost: options.confirmLoss?.() ?? false, endedMembers: [] }),
+    },
+    crashes: {
+      calls: testing.createFakeNetwork().join('test'),
+      runId: 'test',
+      peerAddresses: () => [],
+      checkInSoon: () => {},
+      storeClient: testing.createFakeStore().clientOf('test'),
+      storeKey: { kind: 'quarantines', name: 'requests' },
+      isHolder: () => false,
     },
   });
   await created.component.start?.();
@@ -233,6 +245,10 @@
     url: `http://127.0.0.1:${port}`,
     relay: created,
     suspected,
+    endTarget: (id) => {
+      servers.get(id)?.close();
+      servers.get(id)?.closeAllConnections();
+    },
     stop: async () => {
       await created.component.stop?.();
       servers.forEach((server) => {
--- a/packages/relay/src/testing/simulateChoices.ts
+++ b/packages/relay/src/testing/simulateChoices.ts
@@ -107,6 +107,8 @@
   const toCandidate = (daemon: SimulatedDaemon, head: SimulatedHead): choices.Candidate => ({
     key: head.key,
     targetId: head.key,
+    startedAtMs: 1,
+    failureDomain: 'a',
     address: '127.0.0.1:1',
     groupKey: head.key,
     isSameDomain: head.domain === daemon.domain,
--- a/packages/routing/src/LeadingSuspectAttribution.test.ts
+++ b/packages/routing/src/LeadingSuspectAttribution.test.ts
@@ -38,6 +38,15 @@
   assert.is(quarantine.check('beside', 30).kind, 'suspect');
 });
 
+test('quarantines two requests that are on the same six lost targets', () => {
+  const quarantine = createQuarantine();
+  [0, 10, 20, 30, 40].forEach((atMs) => crash(quarantine, ['one', 'two'], atMs));
+  assert.is(quarantine.check('one', 40).kind, 'suspect');
+  crash(quarantine, ['one', 'two'], 50);
+  assert.is(quarantine.check('one', 50).kind, 'quarantined');
+  assert.is(quarantine.check('two', 50).kind, 'quarantined');
+});
+
 test('does not quarantine a request whose losses are led by several crashing ones', () => {
   const quarantine = createQuarantine();
   ['one', 'two', 'three'].forEach((crashing, index) => {
@@ -82,6 +91,20 @@
   assert.is(quarantine.check('f', 1).kind, 'suspect');
 });
 
+test('does not suspect a request that was sent to a head after its group lost a member', () => {
+  const quarantine = createQuarantine();
+  const head = { targetId: 'head', generation: 1, failureDomain: 'a' };
+  const member = { targetId: 'member', generation: 1, failureDomain: 'a' };
+  quarantine.onDispatch('r1', 'before', head, 0);
+  quarantine.onTargetLost(member, 10, head);
+  quarantine.onDispatch('r2', 'after', head, 20);
+  quarantine.onTargetLost(member, 30, head);
+  assert.is(quarantine.check('before', 30).kind, 'suspect');
+  assert.is(quarantine.check('after', 30).kind, 'clear');
+  quarantine.onTargetLost(head, 40);
+  assert.is(quarantine.check('after', 40).kind, 'suspect');
+});
+
 test('applies a verdict of another daemon until it expires or a run completes', () => {
   const quarantine = createQuarantine();
   const verdict = { kind: 'quarantined', ageMs: 100 } as const;
--- a/packages/routing/src/createQuarantine.ts
+++ b/packages/routing/src/createQuarantine.ts
@@ -176,8 +176,10 @@
     stoppedIds.add(requestId);
   };
 
-  const removeRunsOf = (targetKey: string): readonly Run[] =>
-    [...(runsOfTarget.get(targetKey) ?? [])].flatMap((requestId) => removeRun(requestId) ?? []);
+  const removeRunsOf = (targetKey: string, sentUntilMs: number): readonly Run[] =>
+    [...(runsOfTarget.get(targetKey) ?? [])]
+      .filter((requestId) => runs.get(requestId)!.sentAtMs <= sentUntilMs)
+      .flatMap((requestId) => removeRun(requestId) ?? []);
 
   return {
     check: (fingerprint, nowMs) => {
@@ -214,7 +216,9 @@
     onTargetLost: (target, nowMs, ranOn = target): LossUpdate => {
       dropExpiredStopped(nowMs);
       const { targetKey, atMs } = recordLoss(target, nowMs);
-      const lostRuns = removeRunsOf(targetKeyOf(ranOn));
+      // A head still receives requests after a member was lost, which did not cause that loss.
+      const sentUntilMs = ranOn === target ? Infinity : atMs;
+      const lostRuns = removeRunsOf(targetKeyOf(ranOn), sentUntilMs);
       lostRuns.forEach(({ fingerprint, sentAtMs }) =>
         recordCrash(fingerprint, targetKey, nowMs, nowMs - sentAtMs),
       );
