Crash monitor: do not suspect requests that have just completed elsewhere

What could be seen: callers that send equal requests all the time share one fingerprint, which is on every target.

Change: a request that completed on a daemon within 10 s is not suspected there, and cleared for the others. Cleared requests reach other daemons with the next check-in instead of a message each.

--- a/packages/relay/src/crashes/createCrashExchange.ts
+++ b/packages/relay/src/crashes/createCrashExchange.ts
@@ -8,7 +8,7 @@
  * gets every update, and at once with some others, so that a holder that is gone delays nothing in a small fleet.
  */
 export interface CrashExchange {
-  /** Sends an update of this daemon to the others. */
+  /** Sends an update of this daemon to the others; cleared requests wait for the next check-in. */
   readonly publish: (update: routing.QuarantineUpdate) => void;
   /** Returns the updates to send to the lease holder. */
   readonly createRequest: () => Readonly<Record<string, unknown>>;
@@ -120,6 +120,8 @@
     publish: (update) => {
       const id = `${runId}/${nextPosition}`;
       store(id, update, true);
+      // Each loss clears many requests, and nothing waits for that.
+      if (update.kind === 'cleared') return;
       notifyPeers(entries.get(id)!);
       options.checkInSoon();
     },
--- a/packages/relay/src/crashes/createCrashMonitor.test.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.test.ts
@@ -144,6 +144,40 @@
   assert.is(published.length, 1);
 });
 
+test('does not suspect a request that has recently completed on this daemon', async () => {
+  const { monitor, published } = createMonitor();
+  const completed = createRun('frequent', 'sound');
+  monitor.onDispatch(completed);
+  await monitor.onEnd(completed, 'completed');
+  for (const targetId of ['t1', 't2', 't3']) {
+    const runs = [createRun('frequent', targetId), createRun('crashing', targetId)];
+    runs.forEach(monitor.onDispatch);
+    await Promise.all(runs.map((run) => monitor.onEnd(run, 'broken')));
+    await settle();
+  }
+  assert.is(monitor.check('frequent').kind, 'clear');
+  assert.is(monitor.check('crashing').kind, 'quarantined');
+  assert.equal(
+    published.flatMap((update) => (update.kind === 'loss' ? update.fingerprints : [])),
+    ['crashing', 'crashing', 'crashing'],
+  );
+});
+
+test('clears a request that another daemon suspects if it has recently completed on this one', async () => {
+  const { monitor, published, clock } = createMonitor();
+  const completed = createRun('frequent', 'sound');
+  monitor.onDispatch(completed);
+  await monitor.onEnd(completed, 'completed');
+  const target = { targetId: 't1', generation: 1, failureDomain: 'a' };
+  monitor.applyUpdates([{ kind: 'loss', target, fingerprints: ['frequent', 'f'], ageMs: 0 }]);
+  assert.equal(published, [{ kind: 'cleared', fingerprint: 'frequent', targetKeys: ['t1@1'] }]);
+  assert.is(monitor.check('frequent').kind, 'clear');
+  assert.is(monitor.check('f').kind, 'suspect');
+  clock.advance(10_000);
+  monitor.applyUpdates([{ kind: 'loss', target, fingerprints: ['frequent'], ageMs: 0 }]);
+  assert.is(published.length, 1);
+});
+
 test('forgets a verdict after its lifetime', () => {
   const { monitor, clock } = createMonitor();
   monitor.applyUpdates([{ kind: 'quarantined', fingerprint: 'f', ageMs: 0 }]);
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -66,6 +66,10 @@
 export const quarantineLifetimeMs = 600_000;
 /** The process of a target may end this long after this daemon has closed its connection. */
 const stoppedRunWindowMs = 1_000;
+/** A request that has completed within this time is not suspected of a loss, since a crashing one never completes. */
+const completionValidityMs = 10_000;
+/** Enough for the requests that a daemon completes within the validity. */
+const maxCompletions = 4_096;
 
 const crashTargetOf = ({
   targetId,
@@ -82,6 +86,18 @@
     attribution: new routing.LeadingSuspectAttribution(),
   });
   const verdictAtMs = new Map<string, number>();
+  /** Latest completion on this daemon of each request, oldest first. */
+  const completedAtMs = new Map<string, number>();
+
+  const recordCompletion = (fingerprint: string) => {
+    completedAtMs.delete(fingerprint);
+    completedAtMs.set(fingerprint, clock.monotonicMs());
+    const [oldest] = completedAtMs.keys();
+    if (completedAtMs.size > maxCompletions) completedAtMs.delete(oldest!);
+  };
+
+  const hasCompleted = (fingerprint: string): boolean =>
+    clock.monotonicMs() - (completedAtMs.get(fingerprint) ?? -Infinity) < completionValidityMs;
 
   /** Makes a quarantine final, so that what is learned later of other requests does not lift it. */
   const reviewSuspects = (fingerprints: readonly string[]) =>
@@ -100,17 +116,30 @@
       publish(verdict);
     });
 
+  /** Clears the requests that have recently completed on this daemon of a loss, and returns their fingerprints. */
+  const clearCompleted = ({ target, fingerprints }: routing.LossUpdate): readonly string[] => {
+    const known = fingerprints.filter(hasCompleted);
+    const targetKeys = [routing.targetKeyOf(target)];
+    known.forEach((fingerprint) =>
+      quarantine.onUpdate({ kind: 'cleared', fingerprint, targetKeys }, clock.monotonicMs()),
+    );
+    return known;
+  };
+
   const recordLoss = (lost: routing.CrashTarget, ranOn: routing.CrashTarget) => {
     const update = quarantine.onTargetLost(lost, clock.monotonicMs(), ranOn);
-    const { fingerprints } = update;
-    if (fingerprints.length === 0) return;
-    options.crashedRuns.add({}, fingerprints.length);
+    if (update.fingerprints.length === 0) return;
+    options.crashedRuns.add({}, update.fingerprints.length);
+    const cleared = new Set(clearCompleted(update));
+    const fingerprints = update.fingerprints.filter((fingerprint) => !cleared.has(fingerprint));
     const { targetId } = lost;
+    const clearedCount = cleared.size;
     log.info(
-      { step: 'crash', targetId, headId: ranOn.targetId, fingerprints },
+      { step: 'crash', targetId, headId: ranOn.targetId, fingerprints, clearedCount },
       'target ended while it ran requests',
     );
-    publish(update);
+    if (fingerprints.length === 0) return;
+    publish({ ...update, fingerprints });
     reviewSuspects(fingerprints);
   };
 
@@ -124,8 +153,15 @@
     const nowMs = clock.monotonicMs();
     quarantine.onUpdate(update, nowMs);
     if (update.kind === 'cleared') verdictAtMs.delete(update.fingerprint);
-    else if (update.kind === 'loss') reviewSuspects(update.fingerprints);
-    else verdictAtMs.set(update.fingerprint, nowMs - update.ageMs);
+    else if (update.kind === 'quarantined') {
+      verdictAtMs.set(update.fingerprint, nowMs - update.ageMs);
+    } else {
+      const targetKeys = [routing.targetKeyOf(update.target)];
+      clearCompleted(update).forEach((fingerprint) =>
+        publish({ kind: 'cleared', fingerprint, targetKeys }),
+      );
+      reviewSuspects(update.fingerprints);
+    }
   };
 
   return {
@@ -139,8 +175,13 @@
     onEnd: async ({ runId, fingerprint, candidate }, end) => {
       const nowMs = clock.monotonicMs();
       const cleared = quarantine.onEnd(runId, end === 'broken' ? 'stopped' : end, nowMs);
+      if (end === 'completed') recordCompletion(fingerprint);
       if (cleared !== undefined) {
-        log.info({ step: 'quarantine', fingerprint }, 'cleared a request that completed');
+        const wasQuarantined = verdictAtMs.has(fingerprint);
+        log[wasQuarantined ? 'warn' : 'debug'](
+          { step: 'quarantine', fingerprint, wasQuarantined },
+          'cleared a request that completed',
+        );
         verdictAtMs.delete(fingerprint);
         publish(cleared);
       }
