Relay: a retry budget for each service

Cause: one budget for all services of a daemon. The requests for the model service, 14 times as many, earned the retries that were spent at the plain one; the operators count each service by itself.

Change: a budget, with its reserve, for each service. The new test measured 137 retries before, 120 allowed; it holds now.

--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -6,6 +6,7 @@
 import type { CallerWire } from './CallerRequest';
 import type { CrashMonitor, EndedMember } from './crashes/createCrashMonitor';
 import type { RelayMetrics } from './createRelayMetrics';
+import type { ServiceRetryBudgets } from './createServiceRetryBudgets';
 import type { StallMonitor } from './createStallMonitor';
 import type { TargetTracker } from './createTargetTracker';
 import type { TargetDirectory } from './createTargetDirectory';
@@ -44,7 +45,7 @@
   readonly singleUseClient: targetClient.TargetClient;
   readonly callerWire: CallerWire;
   readonly targetWire: TargetWire;
-  readonly retryBudget: routing.RetryBudget;
+  readonly retryBudgets: ServiceRetryBudgets;
   readonly random: () => number;
   /** Keys are treated as revoked once the plan has not been confirmed as current for this long. */
   readonly keyValidityMs: number;
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -3,7 +3,7 @@
 import type * as lifecycle from '@comfreydrum/lifecycle';
 import type * as objectStore from '@comfreydrum/object-store';
 import type * as peers from '@comfreydrum/peers';
-import * as routing from '@comfreydrum/routing';
+import type * as routing from '@comfreydrum/routing';
 import * as targetClient from '@comfreydrum/target-client';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { CallerWire } from './CallerRequest';
@@ -17,6 +17,7 @@
 import { createProcessCheck } from './crashes/createProcessCheck';
 import { createVerdictStore } from './crashes/createVerdictStore';
 import { createRelayMetrics } from './createRelayMetrics';
+import { createServiceRetryBudgets } from './createServiceRetryBudgets';
 import { createStallMonitor } from './createStallMonitor';
 import { createTargetTracker } from './createTargetTracker';
 import { createTargetDirectory } from './createTargetDirectory';
@@ -53,9 +54,9 @@
   /** Returns the requests that the other daemons have in progress, by run of a target. */
   readonly otherLoads: () => Readonly<Record<string, number>>;
   readonly keyValidityMs: number;
-  /** Retries allowed per first attempt, across the fleet. */
+  /** Retries at a service allowed per first attempt, across the fleet. */
   readonly retryFraction: number;
-  /** Additional retries allowed across the fleet. */
+  /** Additional retries allowed at each service across the fleet. */
   readonly fleetRetryReserve: number;
   readonly failureReporter: FailureReporter;
   readonly hasher: routing.PrefixHasher;
@@ -73,7 +74,7 @@
   readonly crashExchange: CrashExchange;
 }
 
-/** Usable part of the fleet's retry reserve; the rest covers killed daemons, which restart and use their share twice. */
+/** Usable part of the fleet's retry reserve of a service; the rest covers killed daemons, which restart and use their share twice. */
 const usableReserveFraction = 0.7;
 /** Usable part of the retry fraction; the rest covers attempts that no daemon counts because theirs was killed. */
 const usableRetryFraction = 0.85;
@@ -93,7 +94,7 @@
   const stallMonitor = createStallMonitor(clock);
   const ownReserve = () =>
     (options.fleetRetryReserve * usableReserveFraction) / Math.max(1, options.daemonCount());
-  const retryBudget = routing.createRetryBudget({
+  const retryBudgets = createServiceRetryBudgets({
     fraction: options.retryFraction * usableRetryFraction,
     reserve: ownReserve(),
   });
@@ -140,7 +141,7 @@
     }),
     callerWire: options.callerWire,
     targetWire: options.targetWire,
-    retryBudget,
+    retryBudgets,
     random: options.random,
     keyValidityMs: options.keyValidityMs,
     failureReporter: options.failureReporter,
@@ -182,7 +183,7 @@
       name: 'relay',
       start: async () => {
         for (const part of children) await part.start?.();
-        reserveTimer = setInterval(() => retryBudget.setReserve(ownReserve()), reserveIntervalMs);
+        reserveTimer = setInterval(() => retryBudgets.setReserve(ownReserve()), reserveIntervalMs);
       },
       stop: async () => {
         clearInterval(reserveTimer);
--- a/packages/relay/src/serveExchange.test.ts
+++ b/packages/relay/src/serveExchange.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { call } from './testing/callers';
-import { createTestRelay, type TestRelayOptions } from './testing/createTestRelay';
+import { createTestRelay, otherPathPrefix, type TestRelayOptions } from './testing/createTestRelay';
 import { withRelay } from './testing/withRelay';
 
 const test = uvu.suite('non-streaming requests');
@@ -161,6 +161,25 @@
   });
 });
 
+test('does not retry at one service beyond its budget for requests to another', async () => {
+  const rejecting = ['t1', 't2', 't3', 't4'].map((id) => ({
+    id,
+    ...createTarget(answerWith(503, { 'x-not-run': '1' })),
+  }));
+  const requestCount = 100;
+  const budget = { fraction: 0.2, reserve: 100 };
+  await withRelay({ targets: rejecting, route: filing }, async ({ url }) => {
+    for (let index = 0; index < requestCount; index += 1) {
+      const others = Array.from({ length: 3 }, () => call(url, { path: `${otherPathPrefix}1` }));
+      await Promise.all([call(url), ...others]);
+    }
+    const arrivals = rejecting.reduce((sum, target) => sum + target.count(), 0);
+    const allowed = budget.fraction * requestCount + budget.reserve;
+    assert.ok(arrivals - requestCount <= allowed, `${arrivals - requestCount} retries`);
+    assert.ok(arrivals > requestCount, 'no rejected request was retried');
+  });
+});
+
 test('completes requests in progress when it stops', async () => {
   const slow: http.RequestListener = (request, response) => {
     setTimeout(() => answerWith(200)(request, response), 300);
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -38,8 +38,9 @@
   dependencies: RelayDependencies,
   context: RequestContext,
 ): Promise<ServeResult> => {
-  const { clock, retryBudget, log, crashMonitor } = dependencies;
+  const { clock, log, crashMonitor } = dependencies;
   const { route, request, service } = context;
+  const retryBudget = dependencies.retryBudgets.of(service.name);
   const isIdempotent = route.kind === 'idempotent';
   const tried = new Set<string>();
   let runCount = 0;
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -117,7 +117,7 @@
     isStillAuthorized: createKeyCheck(dependencies, request, customerName !== undefined),
   };
   dependencies.metrics.requests.add({ route: route.name });
-  dependencies.retryBudget.onFirstAttempt();
+  dependencies.retryBudgets.of(service.name).onFirstAttempt();
   const result =
     route.kind === 'stream'
       ? await serveStream(dependencies, context)
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -37,8 +37,9 @@
   dependencies: RelayDependencies,
   context: RequestContext,
 ): Promise<ServeResult> => {
-  const { clock, targetTracker, log, retryBudget, crashMonitor } = dependencies;
+  const { clock, targetTracker, log, crashMonitor } = dependencies;
   const { route, request, service, response } = context;
+  const retryBudget = dependencies.retryBudgets.of(service.name);
   const progress = createStreamProgress(request.lastEventId);
   const tried = new Set<string>();
   let runCount = 0;
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -72,12 +72,16 @@
   shares: [{ serviceName: 'service', weight: 1 }],
 };
 
+/** Prefix of a route to a service without targets. */
+export const otherPathPrefix = '/another-service/';
+const otherShares = [{ serviceName: 'other', weight: 1 }] as const;
+
 const createPlan = (options: TestRelayOptions): fleet.TrafficPlan => {
   const route = { ...defaultRoute, ...options.route };
   const slotsPerGroup = options.slots ?? engine.slotsPerGroup;
   return {
     revision: 7,
-    routes: [route],
+    routes: [route, { ...route, name: 'other', pathPrefix: otherPathPrefix, shares: otherShares }],
     services: new Map([
       [
         'service',
@@ -87,6 +91,7 @@
           engine: route.kind === 'stream' ? { ...engine, slotsPerGroup } : undefined,
         },
       ],
+      ['other', { name: 'other', maxConnections: 100, engine: undefined }],
     ]),
     customersByKey: new Map([[testKey, { name: 'court' }]]),
     limits: {
--- a/packages/settings/src/relaySettingsSchema.ts
+++ b/packages/settings/src/relaySettingsSchema.ts
@@ -40,8 +40,15 @@
       ),
     }),
     retries: zod.strictObject({
-      fraction: zod.number().min(0).max(1).describe('Retries per first attempt, fleet-wide.'),
-      reserve: zod.number().nonnegative().describe('Additional retries in any period, fleet-wide.'),
+      fraction: zod
+        .number()
+        .min(0)
+        .max(1)
+        .describe('Retries per first attempt at a service, fleet-wide.'),
+      reserve: zod
+        .number()
+        .nonnegative()
+        .describe('Additional retries at a service in any period, fleet-wide.'),
     }),
     shutdown: zod.strictObject({
       graceSeconds: zod.number().positive().describe('Time between SIGTERM and SIGKILL.'),
