Crash monitor: an answer of 500 or more does not clear a crashing request

What could be seen: beside workers that fail part of their requests, a crashing request that one of them answered with 500 was cleared of all its crashes and not suspected for 10 s, so that it reached more workers.

Cause: any whole answer counted as a completed run. A target may give a failure before it begins to run the request.

Change: only an answer below 500 clears.

--- a/packages/formation/src/createHolderSearch.ts
+++ b/packages/formation/src/createHolderSearch.ts
@@ -11,6 +11,7 @@
 export interface HolderSearch {
   /** Replaces the addresses of other daemons; an empty list is ignored. */
   readonly updatePeers: (addresses: readonly string[]) => void;
+  /** Returns the addresses of other daemons, as last replaced. */
   readonly peerAddresses: () => readonly string[];
   /** Returns a holder that another daemon has reached recently, other than the outdated run `exceptRunId`. */
   readonly find: (exceptRunId: string | undefined) => Promise<Holder | undefined>;
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -222,7 +222,7 @@
     if (answer.statusCode !== 200) {
       answer.body.discard();
       const message = `the target answered ${answer.statusCode}`;
-      return fail({ ran: 'unknown', message, wasRejected: false, isAnswer: true });
+      return fail({ ran: 'unknown', message, wasRejected: false, wasAnswered: true });
     }
     const fault = await relayEvents(dependencies, context, attempt, sent.matched);
     if (fault !== undefined) {
--- a/packages/relay/src/crashes/createCrashExchange.test.ts
+++ b/packages/relay/src/crashes/createCrashExchange.test.ts
@@ -74,10 +74,7 @@
   holder.exchange.publish(lossOf('f0'));
   [one, two, one, two].forEach((daemon) => checkIn(daemon, holder));
   assert.equal(fingerprintsOf(holder), ['f1', 'f2']);
-  assert.equal(
-    fingerprintsOf(one),
-    ['f0', 'f1', 'f2'].filter((name) => name !== 'f1'),
-  );
+  assert.equal(fingerprintsOf(one), ['f0', 'f2']);
   assert.equal(fingerprintsOf(two).sort(), ['f0', 'f1']);
 });
 
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -16,11 +16,12 @@
  * How a run ended.
  *
  * - `completed`: the target gave a whole answer.
+ * - `failed`: the target answered with a failure, perhaps before it began to run the request.
  * - `not-run`: the target did not run the request.
  * - `broken`: the connection broke.
  * - `stopped`: this daemon ended the run.
  */
-export type RunEnd = 'completed' | 'not-run' | 'broken' | 'stopped';
+export type RunEnd = 'completed' | 'failed' | 'not-run' | 'broken' | 'stopped';
 
 /** A member of a group whose process has ended. */
 export interface EndedMember {
@@ -71,6 +72,15 @@
 /** Enough for the requests that a daemon completes within the validity. */
 const maxCompletions = 4_096;
 
+/** Only a completed run shows that the request does not crash targets. */
+const quarantineOutcomes = {
+  completed: 'completed',
+  failed: 'stopped',
+  'not-run': 'not-run',
+  broken: 'stopped',
+  stopped: 'stopped',
+} as const;
+
 const crashTargetOf = ({
   targetId,
   startedAtMs,
@@ -174,15 +184,13 @@
       quarantine.onDispatch(runId, fingerprint, crashTargetOf(candidate), clock.monotonicMs()),
     onEnd: async ({ runId, fingerprint, candidate }, end) => {
       const nowMs = clock.monotonicMs();
-      const cleared = quarantine.onEnd(runId, end === 'broken' ? 'stopped' : end, nowMs);
+      const cleared = quarantine.onEnd(runId, quarantineOutcomes[end], nowMs);
       if (end === 'completed') recordCompletion(fingerprint);
       if (cleared !== undefined) {
-        const wasQuarantined = verdictAtMs.has(fingerprint);
-        log[wasQuarantined ? 'warn' : 'debug'](
-          { step: 'quarantine', fingerprint, wasQuarantined },
-          'cleared a request that completed',
-        );
-        verdictAtMs.delete(fingerprint);
+        const wasQuarantined = verdictAtMs.delete(fingerprint);
+        const fields = { step: 'quarantine', fingerprint, wasQuarantined };
+        if (wasQuarantined) log.warn(fields, 'cleared a quarantined request that completed');
+        else log.debug(fields, 'cleared a suspect request that completed');
         publish(cleared);
       }
       if (end !== 'broken') return;
--- a/packages/relay/src/crashes/createMonitoredRun.ts
+++ b/packages/relay/src/crashes/createMonitoredRun.ts
@@ -11,8 +11,8 @@
 ): MonitoredRun => ({ runId: randomUUID(), fingerprint, candidate });
 
 /** Returns how a failed run ended. */
-export const endOfFailure = ({ ran, wasBroken, isAnswer }: SendFailure): RunEnd => {
+export const endOfFailure = ({ ran, wasBroken, wasAnswered }: SendFailure): RunEnd => {
   if (ran === 'not-run') return 'not-run';
-  if (isAnswer) return 'completed';
+  if (wasAnswered) return 'failed';
   return wasBroken ? 'broken' : 'stopped';
 };
--- a/packages/relay/src/crashes/quarantinedRequests.test.ts
+++ b/packages/relay/src/crashes/quarantinedRequests.test.ts
@@ -21,13 +21,20 @@
 const withCrashingTargets = async (
   kind: 'stream' | 'non-idempotent' | 'idempotent',
   use: (relay: TestRelay, crashedIds: readonly string[]) => Promise<void>,
+  isAnsweredWithFailure: (runCount: number) => boolean = () => false,
 ) => {
   const crashedIds: string[] = [];
+  let runCount = 0;
   const ends: { target: (id: string) => void } = { target: () => {} };
   const createListener =
     (id: string): http.RequestListener =>
     (request, response) => {
       void readBody(request).then((body) => {
+        if (body === crashingBody) runCount += 1;
+        if (body === crashingBody && isAnsweredWithFailure(runCount)) {
+          response.writeHead(500, { 'x-id': String(request.headers['x-id']) }).end('failed');
+          return;
+        }
         if (kind === 'stream') {
           beginStream(request, response, id);
           response.write(eventOf(1));
@@ -67,6 +74,18 @@
     })),
 );
 
+(['stream', 'idempotent'] as const).forEach((kind) =>
+  test(`does not clear a crashing ${kind} request that a target answered with a failure`, () =>
+    withCrashingTargets(
+      kind,
+      async ({ url }, crashedIds) => {
+        for (let count = 0; count < 8; count += 1) await call(url, { body: crashingBody });
+        assert.is(crashedIds.length, crashLimit);
+      },
+      (runCount) => runCount % 3 === 0,
+    )),
+);
+
 test('does not call a crashing request not run in the attempt in which it is quarantined', () =>
   withCrashingTargets('idempotent', async ({ url }, crashedIds) => {
     const answers = [];
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -74,7 +74,10 @@
   readonly crashExchange: CrashExchange;
 }
 
-/** Usable part of the fleet's retry reserve of a service; the rest covers killed daemons, which restart and use their share twice. */
+/**
+ * Usable part of the fleet's retry reserve of a service; the rest covers killed daemons, which restart and use their
+ * share twice.
+ */
 const usableReserveFraction = 0.7;
 /** Usable part of the retry fraction; the rest covers attempts that no daemon counts because theirs was killed. */
 const usableRetryFraction = 0.85;
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -19,8 +19,8 @@
   readonly wasRejected: boolean;
   /** Whether the connection broke after the request was sent, and not because this daemon aborted it. */
   readonly wasBroken?: boolean;
-  /** Whether the target gave a whole answer that is no result. */
-  readonly isAnswer?: boolean;
+  /** Whether the target answered with a status that is no result. */
+  readonly wasAnswered?: boolean;
   readonly faultyTargetId?: string | undefined;
 }
 
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -18,6 +18,7 @@
 /** Retry delay sent to callers when all tried targets confirmed that they did not run the request. */
 const rejectedRetryAfterMs = 100;
 const noTargetRetryAfterMs = 300;
+const firstFailureStatus = 500;
 
 const writeAnswer = ({ response }: RequestContext, answer: CompleteResponse) => {
   const { statusCode, headers, body } = answer;
@@ -29,6 +30,7 @@
 
 const endOfExchange = (result: ExchangeResult): RunEnd => {
   if (result.kind === 'failed') return endOfFailure(result.failure);
+  if (result.answer.statusCode >= firstFailureStatus) return 'failed';
   // The end of a close-delimited body may also be the end of the process.
   return result.answer.isCloseDelimited ? 'broken' : 'completed';
 };
@@ -122,7 +124,7 @@
     if (context.callerDisconnected.aborted) return { kind: 'caller-gone' };
     if (result.kind === 'answered') {
       const { answer } = result;
-      if (answer.statusCode < 500) {
+      if (answer.statusCode < firstFailureStatus) {
         writeAnswer(context, answer);
         return { kind: 'answered', statusCode: answer.statusCode };
       }
