Quarantine: count each crash of a target that is back before the list shows it

What was seen: fault soak: a crashing filing reached workers 4 or 5 times later than 3 s after the third crash.

Cause: a loss was identified by the target's id and start time, as listed. A worker that restarts under its id within the delay of the list crashes again under the same key, so the second crash was taken for the first.

Change: losses of one target more than 500 ms apart are separate losses; what the stand-alone path does stays. The new test of three crashes was red before.

--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -67,6 +67,8 @@
 export const quarantineLifetimeMs = 600_000;
 /** The process of a target may end this long after this daemon has closed its connection. */
 const stoppedRunWindowMs = 1_000;
+/** Daemons notice a crash within this time of each other; a target takes longer to start again. */
+const sameLossMs = 500;
 /** A request that has completed within this time is not suspected of a loss, since a crashing one never completes. */
 const completionValidityMs = 10_000;
 /** Enough for the requests that a daemon completes within the validity. */
@@ -93,6 +95,7 @@
   const quarantine = routing.createQuarantine({
     lifetimeMs: quarantineLifetimeMs,
     stoppedRunWindowMs,
+    sameLossMs,
     attribution: new routing.LeadingSuspectAttribution(),
   });
   const verdictAtMs = new Map<string, number>();
--- a/packages/routing/src/LeadingSuspectAttribution.test.ts
+++ b/packages/routing/src/LeadingSuspectAttribution.test.ts
@@ -5,7 +5,10 @@
 const test = uvu.suite('leading suspect attribution');
 
 const createQuarantine = () =>
-  routing.createQuarantine({ attribution: new routing.LeadingSuspectAttribution() });
+  routing.createQuarantine({
+    attribution: new routing.LeadingSuspectAttribution(),
+    sameLossMs: 500,
+  });
 
 let lossCount = 0;
 
@@ -105,6 +108,35 @@
   assert.is(quarantine.check('after', 40).kind, 'suspect');
 });
 
+test('counts every crash of a target that restarts before the list shows its new run', () => {
+  const quarantine = createQuarantine();
+  const other = createQuarantine();
+  const target = { targetId: 'restarting', generation: 1, failureDomain: 'a' };
+  [0, 1_500, 3_000].forEach((atMs) => {
+    quarantine.onDispatch(`r${atMs}`, 'f', target, atMs);
+    other.onUpdate(quarantine.onTargetLost(target, atMs + 10), atMs + 15);
+  });
+  assert.is(quarantine.check('f', 3_010).kind, 'quarantined');
+  assert.is(other.check('f', 3_015).kind, 'quarantined');
+});
+
+test('counts one crash that several daemons report once', () => {
+  const quarantine = createQuarantine();
+  const target = { targetId: 'ended', generation: 1, failureDomain: 'a' };
+  const loss = { kind: 'loss', target, fingerprints: ['f'] } as const;
+  [10, 200, 400].forEach((ageMs) => quarantine.onUpdate({ ...loss, ageMs }, 1_000));
+  assert.is(quarantine.lossesOf('f', 1_000).length, 1);
+});
+
+test('clears all crashes of a restarting target', () => {
+  const quarantine = createQuarantine();
+  const target = { targetId: 'restarting', generation: 1, failureDomain: 'a' };
+  const loss = { kind: 'loss', target, fingerprints: ['f'] } as const;
+  [0, 1_000].forEach((atMs) => quarantine.onUpdate({ ...loss, ageMs: 0 }, atMs));
+  quarantine.onUpdate({ kind: 'cleared', fingerprint: 'f', targetKeys: ['restarting@1'] }, 1_100);
+  assert.is(quarantine.check('f', 1_100).kind, 'clear');
+});
+
 test('applies a verdict of another daemon until it expires or a run completes', () => {
   const quarantine = createQuarantine();
   const verdict = { kind: 'quarantined', ageMs: 100 } as const;
--- a/packages/routing/src/createQuarantine.ts
+++ b/packages/routing/src/createQuarantine.ts
@@ -15,6 +15,11 @@
   /** Targets lost within this time of each other may have been lost for the same reason. */
   readonly correlationMs?: number;
   readonly attribution?: LossAttribution;
+  /**
+   * Losses of the same target further apart than this are crashes of successive processes that are still listed
+   * as one; by default a target is lost once.
+   */
+  readonly sameLossMs?: number;
   readonly maxEntries?: number;
   /** Time after a run was stopped during which it may still cause the loss of its target. */
   readonly stoppedRunWindowMs?: number;
@@ -54,6 +59,7 @@
     maxEntries = defaultMaxEntries,
     stoppedRunWindowMs = defaultStoppedRunWindowMs,
     attribution = new IndependentLossAttribution(correlationMs),
+    sameLossMs = Infinity,
   } = options;
   const runs = new Map<string, Run>();
   const runsOfTarget = new Map<string, Set<string>>();
@@ -72,8 +78,19 @@
     }
   };
 
-  const recordLoss = (target: CrashTarget, atMs: number): Loss => {
+  /** Returns the key of the loss of a target at a time; further losses of the same target get a number. */
+  const lossKeyAt = (target: CrashTarget, atMs: number): string => {
     const targetKey = targetKeyOf(target);
+    let key = targetKey;
+    for (let number = 2; ; number += 1) {
+      const known = losses.get(key);
+      if (!known || Math.abs(known.atMs - atMs) <= sameLossMs) return key;
+      key = `${targetKey}/${number}`;
+    }
+  };
+
+  const recordLoss = (target: CrashTarget, atMs: number): Loss => {
+    const targetKey = lossKeyAt(target, atMs);
     const known = losses.get(targetKey);
     if (known && known.atMs <= atMs && known.failureDomain !== '') return known;
     const loss = {
@@ -155,11 +172,21 @@
     return run;
   };
 
+  /** Returns the key of the target of a loss. */
+  const targetKeyOfLoss = (lossKey: string): string => {
+    const loss = losses.get(lossKey);
+    return loss ? targetKeyOf(loss.target) : lossKey;
+  };
+
   const clearSuspicion = (fingerprint: string, targetKeys: readonly string[]) => {
     verdicts.delete(fingerprint);
     const entry = entries.get(fingerprint);
     if (!entry) return;
-    targetKeys.forEach((targetKey) => entry.cleared.add(targetKey));
+    const clearedKeys = new Set(targetKeys);
+    [...entry.ranForMs.keys()]
+      .filter((lossKey) => clearedKeys.has(targetKeyOfLoss(lossKey)))
+      .forEach((lossKey) => entry.cleared.add(lossKey));
+    clearedKeys.forEach((targetKey) => entry.cleared.add(targetKey));
   };
 
   const dropExpiredStopped = (nowMs: number) => {
@@ -208,16 +235,18 @@
       }
       const run = removeRun(requestId);
       if (!run || outcome === 'not-run') return undefined;
-      const targetKeys = suspectedKeysOf(run.fingerprint);
+      const targetKeys = [...new Set(suspectedKeysOf(run.fingerprint).map(targetKeyOfLoss))];
       if (targetKeys.length === 0 && !verdicts.has(run.fingerprint)) return undefined;
       clearSuspicion(run.fingerprint, targetKeys);
       return { kind: 'cleared', fingerprint: run.fingerprint, targetKeys };
     },
     onTargetLost: (target, nowMs, ranOn = target): LossUpdate => {
       dropExpiredStopped(nowMs);
-      const { targetKey, atMs } = recordLoss(target, nowMs);
+      const isMember = ranOn !== target;
+      const knownAtMs = isMember ? losses.get(targetKeyOf(target))?.atMs : undefined;
+      const { targetKey, atMs } = recordLoss(target, knownAtMs ?? nowMs);
       // A head still receives requests after a member was lost, which did not cause that loss.
-      const sentUntilMs = ranOn === target ? Infinity : atMs;
+      const sentUntilMs = isMember ? atMs : Infinity;
       const lostRuns = removeRunsOf(targetKeyOf(ranOn), sentUntilMs);
       lostRuns.forEach(({ fingerprint, sentAtMs }) =>
         recordCrash(fingerprint, targetKey, nowMs, nowMs - sentAtMs),
