Relay: tell responses that are cut off after their head from failures that callers are told of

The line 'request ended' of a stream that was cut off after its head looked like one of a stream that got 502, and an exchange did not say why no further target was tried. Now the line has isCutOff, a counter counts these responses by cause, and exchanges name the reason as streams do.

--- a/packages/relay/src/createRelayMetrics.ts
+++ b/packages/relay/src/createRelayMetrics.ts
@@ -6,6 +6,7 @@
   readonly outcomes: telemetry.Counter;
   readonly dispatches: telemetry.Counter;
   readonly crashedRuns: telemetry.Counter;
+  readonly cutOffResponses: telemetry.Counter;
   readonly firstEventMs: telemetry.Histogram;
   readonly gapMs: telemetry.Histogram;
   readonly responseMs: telemetry.Histogram;
@@ -27,6 +28,11 @@
     'Runs of requests whose target ended meanwhile.',
     [],
   ),
+  cutOffResponses: metrics.counter(
+    'comfreydrum_cut_off_responses_total',
+    'Responses that were cut off after their head was sent, by cause.',
+    ['cause'],
+  ),
   firstEventMs: metrics.histogram(
     'comfreydrum_first_event_ms',
     'From the arrival of a request to the first event of its answer.',
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -49,6 +49,8 @@
   let rejectionCount = 0;
   let failure: SendFailure | undefined;
   let failedAnswer: CompleteResponse | undefined;
+  /** Why no further target was tried. */
+  let denial: string | undefined;
 
   const choose = (nowMs: number): Candidate | undefined => {
     const all = dependencies.directory.standaloneTargets(service, nowMs);
@@ -67,6 +69,7 @@
       },
       nowMs,
     );
+    if (decision.kind === 'denied') denial = decision.reason;
     return decision.kind === 'allowed';
   };
 
@@ -75,16 +78,17 @@
       writeAnswer(context, failedAnswer);
       return { kind: 'answered', statusCode: failedAnswer.statusCode };
     }
+    const suffix = denial === undefined ? '' : `; not sent again: ${denial}`;
     const refusal =
       runCount === 0
         ? createNotRunRefusal(
             tried.size === 0 ? 'no-target' : 'targets-refused',
-            failure?.message ?? `no target of service ${service.name} is live`,
+            `${failure?.message ?? `no target of service ${service.name} is live`}${suffix}`,
             tried.size === 0 ? noTargetRetryAfterMs : rejectedRetryAfterMs,
           )
         : createFailureRefusal(
             clock.monotonicMs() >= context.deadlineAtMs ? 'timeout' : 'target-failed',
-            failure?.message ?? 'no target gave an answer',
+            `${failure?.message ?? 'no target gave an answer'}${suffix}`,
           );
     return { kind: 'refused', refusal };
   };
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -161,7 +161,9 @@
     const text = 'the daemon failed while it served the request';
     result = refused({ cause: 'internal', statusCode: 502, ran: 'unknown', message: text });
   }
+  const isCutOff = result.kind === 'refused' && response.headersSent;
   if (result.kind === 'refused') {
+    if (isCutOff) dependencies.metrics.cutOffResponses.add({ cause: result.refusal.cause });
     writeRefusal(response, result.refusal, callerWire.responseHeaders(request));
   }
   const plan = dependencies.plan.current();
@@ -177,6 +179,7 @@
       planAgeMs: Math.round(dependencies.plan.ageMs()),
       listAgeMs: Math.round(listAgeMs),
       ...toLogFields(result),
+      ...(isCutOff ? { isCutOff } : {}),
     },
     'request ended',
   );
