Relay: failing tests for runs that are given up while their target is silent

Sound targets that fall silent for 0.4 to 1.2 s lose their runs, although nothing takes their place: no retry is allowed, the other target rejects the request, or it does not answer.

--- /dev/null
+++ b/packages/relay/src/silentTargets.test.ts
@@ -0,0 +1,163 @@
+import type * as http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { call } from './testing/callers';
+import { beginStream, createStreamTarget, eventOf, eventsOf, resumeIdOf } from './testing/streams';
+import { withRelay } from './testing/withRelay';
+
+const test = uvu.suite('sound targets that fall silent for a while');
+
+const silentMs = 1_200;
+/** Sooner than the second run could take over, and long after the stall was noticed. */
+const shortSilenceMs = 500;
+
+/** Streams `before` events, is silent, then goes on to event 4. */
+const createSilentStream =
+  (before: number, forMs: number): http.RequestListener =>
+  (request, response) => {
+    request.resume();
+    const from = resumeIdOf(request) + 1;
+    if (before > 0) {
+      beginStream(request, response, 'silent');
+      response.write(eventsOf(from, before));
+    }
+    setTimeout(() => {
+      if (before === 0) beginStream(request, response, 'silent');
+      response.end(eventsOf(Math.max(from, before + 1), 4));
+    }, forMs);
+  };
+
+const hang: http.RequestListener = (request) => {
+  request.resume();
+};
+
+const reject: http.RequestListener = (request, response) => {
+  request.resume();
+  response.writeHead(503, { 'x-not-run': '1' }).end();
+};
+
+const answerAfter =
+  (delayMs: number): http.RequestListener =>
+  (request, response) => {
+    request.resume();
+    setTimeout(() => {
+      if (response.destroyed) return;
+      response
+        .writeHead(200, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's' })
+        .end('ok');
+    }, delayMs);
+  };
+
+/** Counts the requests of a target, and those whose connection closed before the answer was complete. */
+const observe = (listener: http.RequestListener) => {
+  const counts = { requests: 0, abandoned: 0 };
+  const observed: http.RequestListener = (request, response) => {
+    counts.requests += 1;
+    response.once('close', () => {
+      if (!response.writableFinished) counts.abandoned += 1;
+    });
+    listener(request, response);
+  };
+  return { listener: observed, counts };
+};
+
+const lookup = { kind: 'idempotent', maxTargets: 2, latencyTargetMs: 120 } as const;
+const isLost = () => true;
+
+for (const before of [0, 2]) {
+  const position = `after ${before} events`;
+
+  test(`keep their stream when no retry is allowed, ${position}`, async () => {
+    const silent = observe(createSilentStream(before, silentMs));
+    const other = observe(createStreamTarget(4, 'other'));
+    const targets = [
+      { id: 't1', listener: silent.listener },
+      { id: 't2', listener: other.listener },
+    ];
+    await withRelay({ targets, confirmLoss: isLost, fleetRetryReserve: 0 }, async ({ url }) => {
+      const answer = await call(url);
+      assert.equal([answer.status, answer.text], [200, eventsOf(1, 4)]);
+      assert.ok(answer.isComplete);
+      assert.is(other.counts.requests, 0);
+    });
+  });
+
+  test(`keep their stream when the other target rejects it, ${position}`, async () => {
+    const silent = observe(createSilentStream(before, silentMs));
+    const targets = [
+      { id: 't1', listener: silent.listener },
+      { id: 't2', listener: observe(reject).listener },
+    ];
+    await withRelay({ targets, confirmLoss: isLost }, async ({ url }) => {
+      const answer = await call(url);
+      assert.equal([answer.status, answer.text], [200, eventsOf(1, 4)]);
+      assert.ok(answer.isComplete);
+      assert.is(silent.counts.requests, 1);
+    });
+  });
+
+  test(`keep their stream when they go on before the other target, ${position}`, async () => {
+    const silent = observe(createSilentStream(before, shortSilenceMs));
+    const other = observe(hang);
+    const targets = [
+      { id: 't1', listener: silent.listener },
+      { id: 't2', listener: other.listener },
+    ];
+    await withRelay({ targets, confirmLoss: isLost }, async ({ url }) => {
+      const answer = await call(url);
+      assert.equal([answer.status, answer.text], [200, eventsOf(1, 4)]);
+      assert.ok(answer.isComplete);
+      await delay(50);
+      assert.is(other.counts.abandoned, other.counts.requests, 'the other run is stopped');
+    });
+  });
+}
+
+test('lose their stream to another target once that one delivers', async () => {
+  const silent = observe((request, response) => {
+    beginStream(request, response, 'silent');
+    response.write(eventOf(1));
+  });
+  const targets = [
+    { id: 't1', listener: silent.listener },
+    { id: 't2', listener: createStreamTarget(4, 'other') },
+  ];
+  await withRelay({ targets, confirmLoss: isLost }, async ({ url }) => {
+    const answer = await call(url);
+    assert.equal([answer.status, answer.text], [200, eventsOf(1, 4)]);
+    await delay(50);
+    assert.equal(silent.counts, { requests: 1, abandoned: 1 });
+  });
+});
+
+test('keep an idempotent request when no retry is allowed', async () => {
+  const targets = ['t1', 't2'].map((id) => ({ id, listener: answerAfter(400) }));
+  await withRelay({ targets, route: lookup, fleetRetryReserve: 0 }, async ({ url }) => {
+    assert.is((await call(url)).status, 200);
+  });
+});
+
+test('keep an idempotent request when the other target rejects it', async () => {
+  const targets = [
+    { id: 't1', listener: answerAfter(400) },
+    { id: 't2', listener: reject },
+  ];
+  await withRelay({ targets, route: lookup }, async ({ url }) => {
+    assert.is((await call(url)).status, 200);
+  });
+});
+
+test('keep an idempotent request until the other target answers it', async () => {
+  const targets = [
+    { id: 't1', listener: answerAfter(400) },
+    { id: 't2', listener: hang },
+  ];
+  await withRelay({ targets, route: lookup }, async ({ url }) => {
+    const startedAtMs = performance.now();
+    assert.is((await call(url)).status, 200);
+    assert.ok(performance.now() - startedAtMs < 1_000);
+  });
+});
+
+test.run();
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -22,6 +22,8 @@
   /** Whether a probe finds a member of a silent group lost. */
   readonly confirmLoss?: () => boolean;
   readonly slots?: number;
+  /** Retries that the fleet allows at each service beyond those that first attempts earn. */
+  readonly fleetRetryReserve?: number;
   readonly otherLoads?: () => Readonly<Record<string, number>>;
 }
 
@@ -229,7 +231,7 @@
     otherLoads: options.otherLoads ?? (() => ({})),
     keyValidityMs: 4_000,
     retryFraction: 0.2,
-    fleetRetryReserve: 100,
+    fleetRetryReserve: options.fleetRetryReserve ?? 100,
     hasher: await routing.createPrefixHasher(),
     failureReporter: {
       suspect: (targetId) => suspected.push(targetId),
