Relay: keep a silent run until another one delivers

Cause: the decision to try elsewhere was made in three places. attemptStream aborted the silent run before serveStream asked the retry budget and before the other head had accepted the stream; serveExchange gave up the first run after 0.7 of the latency target in the same way. What was running was given up for a replacement that might not come.

Change: createRunAllowance alone decides on further runs and knows what runs, the targets, the budget and the time left. superviseRuns hedges a silent run and stops a run only when another one delivers. A hedge needs a target with a free slot that is not silent itself, and leaves a quarter of the reserve of retries to requests whose run has failed.

Why it works: whatever the replacement does, the first run is still there.

--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -21,17 +21,18 @@
 
 const maxResponseBytes = 16_777_216;
 
-/** Sends a request to a target and reads the complete response; times out after `patienceMs`. */
+/** Sends a request to a target and reads the complete response, until the deadline of the request. */
 export const attemptExchange = async (
   dependencies: RelayDependencies,
   context: RequestContext,
   candidate: Candidate,
-  patienceMs: number,
+  stopSignal: AbortSignal,
 ): Promise<ExchangeResult> => {
   const { targetTracker, clock } = dependencies;
   const sentAtMs = clock.monotonicMs();
-  const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(patienceMs)));
-  const signal = AbortSignal.any([timeout, context.callerDisconnected]);
+  const deadline = AbortSignal.timeout(Math.max(1, Math.ceil(context.deadlineAtMs - sentAtMs)));
+  const signal = AbortSignal.any([deadline, stopSignal, context.callerDisconnected]);
+  const isUnwanted = () => stopSignal.aborted || context.callerDisconnected.aborted;
   targetTracker.onSend(candidate.key, sentAtMs);
   try {
     const sent = await sendToTarget(dependencies, context, {
@@ -40,15 +41,15 @@
       signal,
     });
     if (sent.kind === 'failed') {
-      if (!context.callerDisconnected.aborted)
-        targetTracker.onFailure(candidate.key, clock.monotonicMs());
+      if (!isUnwanted()) targetTracker.onFailure(candidate.key, clock.monotonicMs());
       return sent;
     }
     const { answer } = sent.matched;
     const read = await targetClient.readWholeBody(answer.body, candidate.address, maxResponseBytes);
     const nowMs = clock.monotonicMs();
+    targetTracker.onProgress(candidate.key, nowMs);
     if (!read.ok) {
-      if (!context.callerDisconnected.aborted) targetTracker.onFailure(candidate.key, nowMs);
+      if (!isUnwanted()) targetTracker.onFailure(candidate.key, nowMs);
       const { message } = read.error;
       const wasBroken = !signal.aborted;
       return {
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -8,6 +8,7 @@
 import type { StreamProgress } from './createStreamProgress';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
+import type { RunControl } from './runs/superviseRuns';
 import { sendToTarget, type MatchedResponse, type SendFailure } from './sendToTarget';
 
 /** The result of one run of a stream. */
@@ -21,29 +22,15 @@
   | {
       readonly kind: 'failed';
       readonly failure: SendFailure;
-      /** Why this daemon aborted the run, if it did. */
-      readonly abortedFor: AbortReason | undefined;
     };
 
-/** Why a daemon aborts a run: the target stalled, or the deadline of the request passed. */
-export type AbortReason = 'stall' | 'time-limit';
-
 /** One run of a stream on one target. */
 export interface StreamAttempt {
   readonly candidate: Candidate;
   readonly progress: StreamProgress;
-  /** Reports whether the stream may move to another target; called whenever a stall is detected. */
-  readonly mayMove: () => boolean;
-}
-
-/** The abort reason of a run that this daemon aborts. */
-class RunAbortedError extends Error {
-  constructor(
-    readonly abortReason: AbortReason,
-    message: string,
-  ) {
-    super(message);
-  }
+  readonly control: RunControl;
+  /** Called whenever the run is found silent; the run goes on. */
+  readonly onSilent: (message: string) => void;
 }
 
 /** Reports whether an event is the next one of the stream; events without ids can't be checked and pass. */
@@ -54,7 +41,7 @@
 const relayEvents = (
   dependencies: RelayDependencies,
   context: RequestContext,
-  { candidate, progress }: StreamAttempt,
+  { candidate, progress, control }: StreamAttempt,
   { answer }: MatchedResponse,
 ): Promise<string | undefined> =>
   new Promise((resolve) => {
@@ -94,6 +81,7 @@
         if (!isNext(event, lastEventId)) {
           return `event ${event.id} came after event ${lastEventId}`;
         }
+        control.takeLead();
         writeHead();
         if (!response.write(event.bytes)) answer.body.pause();
         recordEvent(event.id, nowMs);
@@ -104,6 +92,7 @@
     response.on('drain', resume);
     answer.body.read({
       onChunks: (chunks) => {
+        if (control.signal.aborted) return;
         targetTracker.onProgress(candidate.key, clock.monotonicMs());
         const fault = forwardEvents(splitter.feed(Buffer.concat(chunks)));
         if (fault === undefined) return;
@@ -114,6 +103,7 @@
         if (cause !== undefined) settle(errors.describeCause(cause));
         else if (splitter.bufferedBytes() > 0) settle('the answer ended in the middle of an event');
         else {
+          control.takeLead();
           writeHead();
           settle(undefined);
         }
@@ -124,12 +114,12 @@
 /** Interval between member checks while a stream stays stalled although all members responded. */
 const memberRecheckMs = 300;
 
-/** Aborts a run when its stream has stalled and may move to another target; returns a function that stops watching. */
+/** Reports a run whose stream has stalled; returns a function that stops watching. */
 const watchForStall = (
   dependencies: RelayDependencies,
   context: RequestContext,
   attempt: StreamAttempt,
-  abort: AbortController,
+  signal: AbortSignal,
 ): (() => void) => {
   const { candidate, progress } = attempt;
   const { route, response } = context;
@@ -141,22 +131,21 @@
     return atMs === undefined ? undefined : Math.max(atMs, sentAtMs);
   };
 
-  const abortForMove = (reason: string) => {
-    if (abort.signal.aborted || !attempt.mayMove()) return;
+  const reportSilence = (reason: string) => {
+    if (signal.aborted) return;
     const silentMs = Math.round(dependencies.clock.monotonicMs() - (lastEventAtMs() ?? sentAtMs));
-    const text = `${reason}: nothing came for ${silentMs} ms`;
-    abort.abort(new RunAbortedError('stall', text));
+    attempt.onSilent(`${reason}: nothing came for ${silentMs} ms`);
   };
 
   const checkMembers = async (groupKey: string) => {
     const { eventCount } = progress.read();
     const { isLost, endedMembers } = await dependencies.failureReporter.confirmLoss(groupKey);
     if (endedMembers.length > 0) dependencies.crashMonitor.onMembersEnded(candidate, endedMembers);
-    if (isLost && progress.read().eventCount === eventCount) abortForMove('a member is silent');
+    if (isLost && progress.read().eventCount === eventCount) reportSilence('a member is silent');
   };
 
   return dependencies.stallMonitor.add((nowMs) => {
-    if (response.writableNeedDrain || abort.signal.aborted) return;
+    if (response.writableNeedDrain || signal.aborted) return;
     const targetStats = dependencies.targetTracker.read(candidate.key, nowMs);
     const assessment = assessStall({
       nowMs,
@@ -171,7 +160,7 @@
     });
     if (assessment === 'wait') return;
     if (assessment !== 'probe' || candidate.groupKey === undefined) {
-      abortForMove(assessment);
+      reportSilence(assessment);
       return;
     }
     if (nowMs - checkedAtMs < memberRecheckMs) return;
@@ -180,9 +169,6 @@
   });
 };
 
-const describeAbort = (signal: AbortSignal, message: string): string =>
-  signal.reason instanceof Error ? signal.reason.message : message;
-
 /** Runs a stream on one target and forwards its events as they arrive. */
 export const attemptStream = async (
   dependencies: RelayDependencies,
@@ -190,23 +176,22 @@
   attempt: StreamAttempt,
 ): Promise<StreamResult> => {
   const { targetTracker, clock } = dependencies;
-  const { candidate, progress } = attempt;
-  const abort = new AbortController();
-  const signal = AbortSignal.any([abort.signal, context.callerDisconnected]);
-  const deadline = setTimeout(
-    () => abort.abort(new RunAbortedError('time-limit', 'the time limit of the request passed')),
+  const { candidate, progress, control } = attempt;
+  const deadline = new AbortController();
+  const signal = AbortSignal.any([deadline.signal, control.signal, context.callerDisconnected]);
+  const deadlineTimer = setTimeout(
+    () => deadline.abort(new Error('the time limit of the request passed')),
     Math.max(0, context.deadlineAtMs - clock.monotonicMs()),
   );
-  const stopWatching = watchForStall(dependencies, context, attempt, abort);
+  const stopWatching = watchForStall(dependencies, context, attempt, signal);
   targetTracker.onSend(candidate.key, clock.monotonicMs());
 
   const fail = (failure: SendFailure): StreamResult => {
-    const reason: unknown = abort.signal.reason;
-    const abortedFor = reason instanceof RunAbortedError ? reason.abortReason : undefined;
-    if (!context.callerDisconnected.aborted)
+    if (!context.callerDisconnected.aborted && !control.signal.aborted)
       targetTracker.onFailure(candidate.key, clock.monotonicMs());
-    const message = describeAbort(abort.signal, failure.message);
-    return { kind: 'failed', failure: { ...failure, message }, abortedFor };
+    const reason: unknown = deadline.signal.reason;
+    const message = reason instanceof Error ? reason.message : failure.message;
+    return { kind: 'failed', failure: { ...failure, message } };
   };
 
   const { eventCount, lastEventId } = progress.read();
@@ -237,7 +222,7 @@
       isCloseDelimited: isCloseDelimited(answer, context.request.method),
     };
   } finally {
-    clearTimeout(deadline);
+    clearTimeout(deadlineTimer);
     stopWatching();
     targetTracker.onEnd(candidate.key);
   }
--- /dev/null
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -0,0 +1,128 @@
+import type * as routing from '@comfreydrum/routing';
+import { chooseTarget, hasFreeSlot, type Candidate } from '../chooseTarget';
+import type { RelayDependencies } from '../RelayDependencies';
+import type { RequestContext } from '../RequestContext';
+
+type RetryDenial = Extract<routing.RetryDecision, { kind: 'denied' }>['reason'];
+
+/** Why no further run of a request may start. */
+export type RunDenial =
+  | { readonly reason: 'quarantined'; readonly retryAfterMs: number }
+  | { readonly reason: 'no-slot'; readonly candidate: Candidate }
+  | {
+      readonly reason:
+        | RetryDenial
+        | 'unauthorized'
+        | 'no-target'
+        | 'not-repeatable'
+        | 'too-many-runs'
+        | 'too-many-rejections'
+        | 'deadline-reached';
+    };
+
+export type RunDecision =
+  | { readonly kind: 'allowed'; readonly candidate: Candidate; readonly isRetry: boolean }
+  | { readonly kind: 'denied'; readonly denial: RunDenial };
+
+/** Decides whether and where a request runs next; knows all of its runs. */
+export interface RunAllowance {
+  /** Decides on the first run, or on the next one after all earlier ones have failed. */
+  readonly next: (nowMs: number) => RunDecision;
+  /**
+   * Decides on a hedge: a run on another target while a silent one goes on. It needs a target that can start it at
+   * once and is not silent itself.
+   */
+  readonly hedge: (nowMs: number) => RunDecision;
+  /** Records a run that the target has rejected, or that the target may have executed and failed. */
+  readonly onFailure: (ran: 'not-run' | 'unknown', wasRejected: boolean) => void;
+  /** Returns the number of failed runs that a target may have executed. */
+  readonly failedRunCount: () => number;
+  readonly triedCount: () => number;
+}
+
+/** What depends on the kind of request. */
+export interface RunAllowanceOptions {
+  readonly listCandidates: (nowMs: number) => readonly Candidate[];
+  /** Whether the request may run more than once. */
+  readonly isRepeatable: boolean;
+  /** Whether the first run needs a target with a free slot. */
+  readonly needsFreeSlot: boolean;
+  /** Maximum number of rejections by targets before a request is no longer retried. */
+  readonly maxRejections: number;
+}
+
+/** A request with less time left is not sent. */
+const minSendBudgetMs = 20;
+/** Lower bound of the time without any data after which a target is no place for a hedge. */
+const minSilentMs = 250;
+
+const deny = (denial: RunDenial): RunDecision => ({ kind: 'denied', denial });
+
+/** Creates the allowance of a request that has not run yet. */
+export const createRunAllowance = (
+  dependencies: RelayDependencies,
+  context: RequestContext,
+  options: RunAllowanceOptions,
+): RunAllowance => {
+  const { route, service, deadlineAtMs } = context;
+  const retryBudget = dependencies.retryBudgets.of(service.name);
+  const maxSilentMs = Math.max(minSilentMs, route.latencyTargetMs);
+  const tried = new Set<string>();
+  let notRunCount = 0;
+  let rejectionCount = 0;
+  let failedRunCount = 0;
+
+  /** Number of runs that a target may have executed, including those in progress. */
+  const runCount = () => tried.size - notRunCount;
+
+  const isSilent = ({ stats }: Candidate, nowMs: number) =>
+    stats.silentSinceMs !== undefined && nowMs - stats.silentSinceMs >= maxSilentMs;
+
+  const findRetryDenial = (): RunDenial | undefined => {
+    if (runCount() > 0 && !options.isRepeatable) return { reason: 'not-repeatable' };
+    if (runCount() >= route.maxTargets) return { reason: 'too-many-runs' };
+    if (rejectionCount > options.maxRejections) return { reason: 'too-many-rejections' };
+    return undefined;
+  };
+
+  const decide = (nowMs: number, isHedge: boolean): RunDecision => {
+    const isRetry = tried.size > 0;
+    const retryDenial = isRetry ? findRetryDenial() : undefined;
+    if (!context.isStillAuthorized()) return deny({ reason: 'unauthorized' });
+    const status = dependencies.crashMonitor.check(context.fingerprint);
+    if (status.kind === 'quarantined') {
+      return deny({ reason: 'quarantined', retryAfterMs: status.retryAfterMs });
+    }
+    if (retryDenial !== undefined) return deny(retryDenial);
+    if (deadlineAtMs - nowMs < minSendBudgetMs) return deny({ reason: 'deadline-reached' });
+    const candidates = options
+      .listCandidates(nowMs)
+      .filter(({ key }) => !tried.has(key))
+      .filter((candidate) => !isHedge || (hasFreeSlot(candidate) && !isSilent(candidate, nowMs)));
+    const candidate = chooseTarget(candidates, { nowMs, random: dependencies.random });
+    if (candidate === undefined) return deny({ reason: 'no-target' });
+    if (!isRetry && options.needsFreeSlot && !hasFreeSlot(candidate)) {
+      return deny({ reason: 'no-slot', candidate });
+    }
+    if (isRetry) {
+      const { key: targetId, expectedMs } = candidate;
+      const retry = { targetId, triedIds: tried, deadlineAtMs, expectedMs, isOptional: isHedge };
+      const decision = retryBudget.tryRetry(retry, nowMs);
+      if (decision.kind === 'denied') return deny({ reason: decision.reason });
+    }
+    tried.add(candidate.key);
+    return { kind: 'allowed', candidate, isRetry };
+  };
+
+  return {
+    next: (nowMs) => decide(nowMs, false),
+    hedge: (nowMs) => decide(nowMs, true),
+    onFailure: (ran, wasRejected) => {
+      if (ran === 'unknown') failedRunCount += 1;
+      else notRunCount += 1;
+      if (wasRejected) rejectionCount += 1;
+    },
+    failedRunCount: () => failedRunCount,
+    triedCount: () => tried.size,
+  };
+};
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -1,5 +1,5 @@
 import { attemptExchange, type CompleteResponse, type ExchangeResult } from './attemptExchange';
-import { chooseTarget, type Candidate } from './chooseTarget';
+import type { Candidate } from './chooseTarget';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
 import type { RunEnd } from './crashes/createCrashMonitor';
 import { makeCloseDelimited } from './makeCloseDelimited';
@@ -7,14 +7,16 @@
 import { createNotRunRefusal, createFailureRefusal, createQuarantineRefusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
+import { createRunAllowance, type RunDenial } from './runs/createRunAllowance';
+import { superviseRuns, type RunControl, type RunReason } from './runs/superviseRuns';
 import type { SendFailure } from './sendToTarget';
 import type { ServeResult } from './ServeResult';
 
 /** Maximum number of rejections by targets before a request is no longer retried. */
 const maxRejections = 3;
-/** Fraction of the latency target after which an idempotent request is tried on another target. */
-const attemptTimeoutFraction = 0.7;
-const minAttemptTimeoutMs = 60;
+/** Fraction of the latency target after which an idempotent request is hedged. */
+const hedgeDelayFraction = 0.7;
+const minHedgeDelayMs = 60;
 /** Retry delay sent to callers when all tried targets confirmed that they did not run the request. */
 const rejectedRetryAfterMs = 100;
 const noTargetRetryAfterMs = 300;
@@ -35,116 +37,98 @@
   return result.answer.isCloseDelimited ? 'broken' : 'completed';
 };
 
-/** Serves a request with a non-streaming response; tries targets in turn, as far as the route kind allows retries. */
+/** A run that has failed, perhaps with an answer to forward if no other run succeeds. */
+interface FailedRun {
+  readonly failure: SendFailure;
+  readonly answer: CompleteResponse | undefined;
+  readonly sentAtMs: number;
+  readonly checked: Promise<void>;
+}
+
+/** Serves a request with a non-streaming response; tries targets as far as the route kind allows retries. */
 export const serveExchange = async (
   dependencies: RelayDependencies,
   context: RequestContext,
 ): Promise<ServeResult> => {
-  const { clock, log, crashMonitor } = dependencies;
+  const { clock, log, crashMonitor, targetTracker } = dependencies;
   const { route, request, service } = context;
-  const retryBudget = dependencies.retryBudgets.of(service.name);
   const isIdempotent = route.kind === 'idempotent';
-  const tried = new Set<string>();
-  let runCount = 0;
-  let rejectionCount = 0;
+  const hedgeDelayMs = Math.max(minHedgeDelayMs, route.latencyTargetMs * hedgeDelayFraction);
+  const allowance = createRunAllowance(dependencies, context, {
+    listCandidates: (nowMs) => dependencies.directory.standaloneTargets(service, nowMs),
+    isRepeatable: isIdempotent,
+    needsFreeSlot: false,
+    maxRejections,
+  });
   let failure: SendFailure | undefined;
   let failedAnswer: CompleteResponse | undefined;
-  /** Why no further target was tried. */
-  let denial: string | undefined;
 
-  const choose = (nowMs: number): Candidate | undefined => {
-    const all = dependencies.directory.standaloneTargets(service, nowMs);
-    const untried = all.filter(({ key }) => !tried.has(key));
-    return chooseTarget(untried, { nowMs, random: dependencies.random });
+  const createRefusal = ({ reason }: RunDenial) => {
+    const isDenied = reason === 'budget-spent' || reason === 'past-deadline';
+    const suffix = isDenied ? `; not sent again: ${reason}` : '';
+    if (allowance.failedRunCount() > 0) {
+      const isLate = clock.monotonicMs() >= context.deadlineAtMs || reason === 'deadline-reached';
+      const text = `${failure?.message ?? 'no target gave an answer'}${suffix}`;
+      return createFailureRefusal(isLate ? 'timeout' : 'target-failed', text);
+    }
+    if (allowance.triedCount() === 0) {
+      const text = `no target of service ${service.name} is live`;
+      return createNotRunRefusal('no-target', text, noTargetRetryAfterMs);
+    }
+    const text = `${failure?.message ?? 'no target took the request'}${suffix}`;
+    return createNotRunRefusal('targets-refused', text, rejectedRetryAfterMs);
   };
 
-  const mayRetry = (nowMs: number, candidate: Candidate): boolean => {
-    if (runCount >= route.maxTargets || rejectionCount > maxRejections) return false;
-    const decision = retryBudget.tryRetry(
-      {
-        targetId: candidate.key,
-        triedIds: tried,
-        deadlineAtMs: context.deadlineAtMs,
-        expectedMs: candidate.expectedMs,
-      },
-      nowMs,
-    );
-    if (decision.kind === 'denied') denial = decision.reason;
-    return decision.kind === 'allowed';
+  const createFinalResult = (denial: RunDenial): ServeResult => {
+    const failedCount = allowance.failedRunCount();
+    if (denial.reason === 'unauthorized') return refuseUnverifiedKey(failedCount);
+    if (denial.reason === 'quarantined') {
+      const refusal = createQuarantineRefusal(failedCount, denial.retryAfterMs);
+      return { kind: 'refused', refusal };
+    }
+    if (failedAnswer === undefined) return { kind: 'refused', refusal: createRefusal(denial) };
+    writeAnswer(context, failedAnswer);
+    return { kind: 'answered', statusCode: failedAnswer.statusCode };
   };
 
-  const createFinalResult = (): ServeResult => {
-    if (failedAnswer !== undefined) {
-      writeAnswer(context, failedAnswer);
-      return { kind: 'answered', statusCode: failedAnswer.statusCode };
-    }
-    const suffix = denial === undefined ? '' : `; not sent again: ${denial}`;
-    const refusal =
-      runCount === 0
-        ? createNotRunRefusal(
-            tried.size === 0 ? 'no-target' : 'targets-refused',
-            `${failure?.message ?? `no target of service ${service.name} is live`}${suffix}`,
-            tried.size === 0 ? noTargetRetryAfterMs : rejectedRetryAfterMs,
-          )
-        : createFailureRefusal(
-            clock.monotonicMs() >= context.deadlineAtMs ? 'timeout' : 'target-failed',
-            `${failure?.message ?? 'no target gave an answer'}${suffix}`,
-          );
-    return { kind: 'refused', refusal };
+  const toFailure = (candidate: Candidate, result: ExchangeResult): SendFailure => {
+    if (result.kind === 'failed') return result.failure;
+    const message = `target ${candidate.targetId} answered ${result.answer.statusCode}`;
+    return { ran: 'unknown', message, wasRejected: false };
   };
 
-  for (;;) {
-    const nowMs = clock.monotonicMs();
-    if (!context.isStillAuthorized()) return refuseUnverifiedKey(runCount);
-    const status = crashMonitor.check(context.fingerprint);
-    if (status.kind === 'quarantined') {
-      return { kind: 'refused', refusal: createQuarantineRefusal(runCount, status.retryAfterMs) };
-    }
-    const candidate = choose(nowMs);
-    if (candidate === undefined) return createFinalResult();
-    if (tried.size > 0 && !mayRetry(nowMs, candidate)) return createFinalResult();
-    const remainingMs = context.deadlineAtMs - nowMs;
-    if (remainingMs <= 0) return createFinalResult();
-    const isLast = !isIdempotent || runCount + 1 >= route.maxTargets;
-    const patienceMs = isLast
-      ? remainingMs
-      : Math.min(
-          remainingMs,
-          Math.max(minAttemptTimeoutMs, route.latencyTargetMs * attemptTimeoutFraction),
-        );
-    tried.add(candidate.key);
+  const run = async (candidate: Candidate, reason: RunReason, control: RunControl) => {
+    const sentAtMs = clock.monotonicMs();
     log.debug(
-      { requestId: request.requestId, step: 'dispatch', targetId: candidate.targetId, patienceMs },
+      { requestId: request.requestId, step: 'dispatch', targetId: candidate.targetId, reason },
       'request sent to target',
     );
-    dependencies.metrics.dispatches.add({
-      service: service.name,
-      reason: tried.size === 1 ? 'first' : 'retry',
-    });
-    const run = createMonitoredRun(context, candidate);
-    crashMonitor.onDispatch(run);
-    const result = await attemptExchange(dependencies, context, candidate, patienceMs);
-    await crashMonitor.onEnd(run, endOfExchange(result));
-    if (context.callerDisconnected.aborted) return { kind: 'caller-gone' };
-    if (result.kind === 'answered') {
-      const { answer } = result;
-      if (answer.statusCode < firstFailureStatus) {
-        writeAnswer(context, answer);
-        return { kind: 'answered', statusCode: answer.statusCode };
+    dependencies.metrics.dispatches.add({ service: service.name, reason });
+    const monitored = createMonitoredRun(context, candidate);
+    crashMonitor.onDispatch(monitored);
+    const hedgeTimer = setInterval(() => {
+      if (isIdempotent && control.onSilent()) {
+        targetTracker.onFailure(candidate.key, clock.monotonicMs());
       }
-      runCount += 1;
-      // To callers 503 means "not run", so it is not forwarded without the target's confirmation.
-      if (answer.statusCode !== 503) failedAnswer = answer;
-      failure = {
-        ran: 'unknown',
-        message: `target ${candidate.targetId} answered ${answer.statusCode}`,
-        wasRejected: false,
-      };
-    } else {
-      failure = result.failure;
-      if (failure.ran === 'unknown') runCount += 1;
-      if (failure.wasRejected) rejectionCount += 1;
+    }, hedgeDelayMs);
+    const result = await attemptExchange(dependencies, context, candidate, control.signal);
+    clearInterval(hedgeTimer);
+    const checked = crashMonitor.onEnd(monitored, endOfExchange(result));
+    if (result.kind === 'answered' && result.answer.statusCode < firstFailureStatus) {
+      return { kind: 'succeeded', success: result.answer } as const;
     }
+    const answer = result.kind === 'answered' ? result.answer : undefined;
+    const failed = { failure: toFailure(candidate, result), answer, sentAtMs, checked };
+    return { kind: 'failed', failure: failed } as const;
+  };
+
+  const recordFailure = (candidate: Candidate, failed: FailedRun) => {
+    failure = failed.failure;
+    // To callers 503 means "not run", so it is not forwarded without the target's confirmation.
+    if (failed.answer !== undefined && failed.answer.statusCode !== 503) {
+      failedAnswer = failed.answer;
+    }
+    allowance.onFailure(failure.ran, failure.wasRejected);
     log.info(
       {
         requestId: request.requestId,
@@ -153,10 +137,24 @@
         peer: candidate.address,
         targetId: candidate.targetId,
         ran: failure.ran,
-        afterMs: Math.round(clock.monotonicMs() - nowMs),
+        afterMs: Math.round(clock.monotonicMs() - failed.sentAtMs),
       },
       failure.message,
     );
-    if (failure.ran === 'unknown' && !isIdempotent) return createFinalResult();
-  }
+  };
+
+  const supervised = await superviseRuns<CompleteResponse, FailedRun>({
+    clock,
+    allowance,
+    callerDisconnected: context.callerDisconnected,
+    run,
+    onFailure: async (candidate, failed) => {
+      recordFailure(candidate, failed);
+      await failed.checked;
+    },
+  });
+  if (supervised.kind === 'caller-gone') return { kind: 'caller-gone' };
+  if (supervised.kind === 'denied') return createFinalResult(supervised.denial);
+  writeAnswer(context, supervised.success);
+  return { kind: 'answered', statusCode: supervised.success.statusCode };
 };
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,6 +1,5 @@
-import type * as routing from '@comfreydrum/routing';
 import { attemptStream, type StreamResult } from './attemptStream';
-import { chooseTarget, hasFreeSlot, utilizationOf, type Candidate } from './chooseTarget';
+import { utilizationOf, type Candidate } from './chooseTarget';
 import type { RunEnd } from './crashes/createCrashMonitor';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
 import { createStreamProgress } from './createStreamProgress';
@@ -13,6 +12,9 @@
 } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
+import { createRunAllowance, type RunDenial } from './runs/createRunAllowance';
+import { superviseRuns, type RunControl, type RunReason } from './runs/superviseRuns';
+import type { SendFailure } from './sendToTarget';
 import type { ServeResult } from './ServeResult';
 
 /** Maximum number of rejections by heads before a request is no longer retried. */
@@ -24,7 +26,6 @@
 /** Groups take one to two seconds to join when their weights are staged. */
 const noGroupRetryAfterMs = 1_200;
 const fullRetryAfterMs = 1_200;
-const minSendBudgetMs = 20;
 
 const endOfStream = (result: StreamResult): RunEnd => {
   if (result.kind === 'failed') return endOfFailure(result.failure);
@@ -32,113 +33,105 @@
   return result.isCloseDelimited ? 'broken' : 'completed';
 };
 
-/** Serves a request with a streaming response; resumes the stream at another head when a run fails. */
+/** A run that has failed, and whether its target is known to have ended by now. */
+interface FailedRun {
+  readonly failure: SendFailure;
+  readonly sentAtMs: number;
+  readonly checked: Promise<void>;
+}
+
+/** A run that has delivered its last event. */
+interface CompleteRun {
+  readonly candidate: Candidate;
+  readonly statusCode: number;
+  readonly isCloseDelimited: boolean;
+}
+
+/** Serves a request with a streaming response; resumes the stream at another head when a run fails or is silent. */
 export const serveStream = async (
   dependencies: RelayDependencies,
   context: RequestContext,
 ): Promise<ServeResult> => {
   const { clock, targetTracker, log, crashMonitor } = dependencies;
   const { route, request, service, response } = context;
-  const retryBudget = dependencies.retryBudgets.of(service.name);
   const progress = createStreamProgress(request.lastEventId);
-  const tried = new Set<string>();
-  let runCount = 0;
-  let rejectionCount = 0;
+  const allowance = createRunAllowance(dependencies, context, {
+    listCandidates: (nowMs) => dependencies.directory.groupHeads(service, request.modelName, nowMs),
+    isRepeatable: route.isResumable,
+    needsFreeSlot: true,
+    maxRejections,
+  });
   let message = `no group serves model ${request.modelName} of service ${service.name}`;
 
-  const choose = (nowMs: number): Candidate | undefined =>
-    chooseTarget(
-      dependencies.directory
-        .groupHeads(service, request.modelName, nowMs)
-        .filter(({ key }) => !tried.has(key)),
-      { nowMs, random: dependencies.random },
-    );
+  const logFieldsOf = (candidate: Candidate, sentAtMs: number) => ({
+    requestId: request.requestId,
+    step: 'stream',
+    fingerprint: context.fingerprint,
+    peer: candidate.address,
+    targetId: candidate.targetId,
+    group: candidate.groupKey,
+    events: progress.read().eventCount,
+    lastEventId: progress.read().lastEventId,
+    afterMs: Math.round(clock.monotonicMs() - sentAtMs),
+  });
 
-  const retryAt = (candidate: Candidate, nowMs: number): routing.RetryDecision =>
-    retryBudget.tryRetry(
-      {
-        targetId: candidate.key,
-        triedIds: tried,
-        deadlineAtMs: context.deadlineAtMs,
-        expectedMs: candidate.expectedMs,
-      },
-      nowMs,
-    );
-
-  /** Reports whether the stream can be resumed, one more run is allowed and another head is available. */
-  const mayMove = () =>
-    route.isResumable &&
-    runCount + 1 < route.maxTargets &&
-    choose(clock.monotonicMs()) !== undefined;
-
-  const createRefusal = (): Refusal => {
-    if (clock.monotonicMs() >= context.deadlineAtMs)
+  const createRefusal = ({ reason }: RunDenial): Refusal => {
+    const hasFailed = allowance.failedRunCount() > 0;
+    const isLate = clock.monotonicMs() >= context.deadlineAtMs;
+    if (isLate || (hasFailed && reason === 'deadline-reached'))
       return createFailureRefusal('timeout', message);
-    if (runCount > 0) return createFailureRefusal('target-failed', message);
-    if (tried.size === 0) return createNotRunRefusal('no-group', message, noGroupRetryAfterMs);
+    if (reason === 'budget-spent' || reason === 'past-deadline')
+      message = `${message}; not sent again: ${reason}`;
+    if (hasFailed) return createFailureRefusal('target-failed', message);
+    if (allowance.triedCount() === 0)
+      return createNotRunRefusal('no-group', message, noGroupRetryAfterMs);
     return createNotRunRefusal('targets-refused', message, fullRetryAfterMs);
   };
 
-  const recordFailure = (
+  const refuse = (denial: RunDenial): ServeResult => {
+    const failedCount = allowance.failedRunCount();
+    if (denial.reason === 'unauthorized') return refuseUnverifiedKey(failedCount);
+    if (denial.reason === 'quarantined') {
+      const refusal = createQuarantineRefusal(failedCount, denial.retryAfterMs);
+      return { kind: 'refused', refusal };
+    }
+    if (denial.reason === 'no-slot') {
+      const load = utilizationOf(denial.candidate).toFixed(2);
+      const text = `the least loaded group of model ${request.modelName} is at ${load} of its places`;
+      return { kind: 'refused', refusal: createNotRunRefusal('overload', text, fullRetryAfterMs) };
+    }
+    return { kind: 'refused', refusal: createRefusal(denial) };
+  };
+
+  const recordSilence = (
     candidate: Candidate,
-    { failure, abortedFor }: Extract<StreamResult, { kind: 'failed' }>,
+    control: RunControl,
     sentAtMs: number,
+    text: string,
   ) => {
+    const isHedged = control.onSilent();
+    if (!isHedged) return;
     const nowMs = clock.monotonicMs();
+    targetTracker.onFailure(candidate.key, nowMs);
+    targetTracker.avoid(candidate.key, nowMs + avoidStalledMs);
+    dependencies.failureReporter.suspect(candidate.targetId);
+    log.info(logFieldsOf(candidate, sentAtMs), `target ${candidate.targetId}: ${text}; hedged`);
+  };
+
+  const recordFailure = (candidate: Candidate, { failure, sentAtMs }: FailedRun) => {
     message = `target ${candidate.targetId}: ${failure.message}`;
-    if (failure.ran === 'unknown') runCount += 1;
-    if (failure.wasRejected) rejectionCount += 1;
-    if (abortedFor === 'stall') targetTracker.avoid(candidate.key, nowMs + avoidStalledMs);
-    if (failure.wasRejected) targetTracker.avoid(candidate.key, nowMs + avoidFullMs);
+    allowance.onFailure(failure.ran, failure.wasRejected);
+    if (failure.wasRejected) {
+      targetTracker.avoid(candidate.key, clock.monotonicMs() + avoidFullMs);
+    }
     if (failure.faultyTargetId !== undefined || !failure.wasRejected) {
       dependencies.failureReporter.suspect(failure.faultyTargetId ?? candidate.targetId);
     }
-    log.info(
-      {
-        requestId: request.requestId,
-        step: 'stream',
-        fingerprint: context.fingerprint,
-        peer: candidate.address,
-        targetId: candidate.targetId,
-        group: candidate.groupKey,
-        ran: failure.ran,
-        events: progress.read().eventCount,
-        lastEventId: progress.read().lastEventId,
-        afterMs: Math.round(nowMs - sentAtMs),
-      },
-      message,
-    );
+    log.info({ ...logFieldsOf(candidate, sentAtMs), ran: failure.ran }, message);
   };
 
-  for (;;) {
-    const nowMs = clock.monotonicMs();
-    if (!context.isStillAuthorized()) return refuseUnverifiedKey(runCount);
-    const status = crashMonitor.check(context.fingerprint);
-    if (status.kind === 'quarantined') {
-      return { kind: 'refused', refusal: createQuarantineRefusal(runCount, status.retryAfterMs) };
-    }
-    const candidate = choose(nowMs);
-    if (candidate === undefined) return { kind: 'refused', refusal: createRefusal() };
-    const isRetry = tried.size > 0;
-    if (!isRetry && !hasFreeSlot(candidate)) {
-      const load = utilizationOf(candidate).toFixed(2);
-      const text = `the least loaded group of model ${request.modelName} is at ${load} of its places`;
-      return { kind: 'refused', refusal: createNotRunRefusal('overload', text, fullRetryAfterMs) };
-    }
-    if (isRetry) {
-      const mayRepeat = runCount === 0 || (route.isResumable && runCount < route.maxTargets);
-      if (!mayRepeat || rejectionCount > maxRejections) {
-        return { kind: 'refused', refusal: createRefusal() };
-      }
-      const decision = retryAt(candidate, nowMs);
-      if (decision.kind === 'denied') {
-        message = `${message}; not sent again: ${decision.reason}`;
-        return { kind: 'refused', refusal: createRefusal() };
-      }
-    }
-    if (context.deadlineAtMs - nowMs < minSendBudgetMs)
-      return { kind: 'refused', refusal: createRefusal() };
-    tried.add(candidate.key);
+  const run = async (candidate: Candidate, reason: RunReason, control: RunControl) => {
+    const sentAtMs = clock.monotonicMs();
     log.debug(
       {
         requestId: request.requestId,
@@ -147,42 +140,54 @@
         group: candidate.groupKey,
         inFlight: candidate.stats.inFlight,
         resumeAfterEventId: progress.read().lastEventId,
+        reason,
       },
       'request sent to group',
     );
-    dependencies.metrics.dispatches.add({
-      service: service.name,
-      reason: isRetry ? 'retry' : 'first',
+    dependencies.metrics.dispatches.add({ service: service.name, reason });
+    const monitored = createMonitoredRun(context, candidate);
+    crashMonitor.onDispatch(monitored);
+    const result = await attemptStream(dependencies, context, {
+      candidate,
+      progress,
+      control,
+      onSilent: (text) => recordSilence(candidate, control, sentAtMs, text),
     });
-    const run = createMonitoredRun(context, candidate);
-    crashMonitor.onDispatch(run);
-    const result = await attemptStream(dependencies, context, { candidate, progress, mayMove });
-    const checked = crashMonitor.onEnd(run, endOfStream(result));
-    if (context.callerDisconnected.aborted) return { kind: 'caller-gone' };
+    const checked = crashMonitor.onEnd(monitored, endOfStream(result));
     if (result.kind === 'complete') {
-      const isFramed = response.headersSent && response.useChunkedEncodingByDefault;
-      // The response to the caller is chunked, but the end of a close-delimited run doesn't prove that the stream is
-      // complete, so the connection is closed without the last chunk.
-      if (isFramed && result.isCloseDelimited) response.socket?.destroySoon();
-      else response.end();
-      const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
-      return {
-        kind: 'answered',
-        statusCode: result.statusCode,
-        timing: {
-          targetId: candidate.targetId,
-          triedCount: tried.size,
-          events: eventCount,
-          firstEventMs: Math.round((firstEventAtMs ?? nowMs) - context.arrivedAtMs),
-          maxGapMs: Math.round(maxGapMs),
-        },
-      };
+      return { kind: 'succeeded', success: { ...result, candidate } } as const;
     }
-    recordFailure(candidate, result, nowMs);
-    await checked;
-    // The timer may abort a run just before the monotonic clock reaches the deadline.
-    if (result.abortedFor === 'time-limit') {
-      return { kind: 'refused', refusal: createFailureRefusal('timeout', message) };
-    }
-  }
+    return { kind: 'failed', failure: { failure: result.failure, sentAtMs, checked } } as const;
+  };
+
+  const supervised = await superviseRuns<CompleteRun, FailedRun>({
+    clock,
+    allowance,
+    callerDisconnected: context.callerDisconnected,
+    run,
+    onFailure: async (candidate, failed) => {
+      recordFailure(candidate, failed);
+      await failed.checked;
+    },
+  });
+  if (supervised.kind === 'caller-gone') return { kind: 'caller-gone' };
+  if (supervised.kind === 'denied') return refuse(supervised.denial);
+  const { candidate, statusCode, isCloseDelimited } = supervised.success;
+  const isFramed = response.headersSent && response.useChunkedEncodingByDefault;
+  // The response to the caller is chunked, but the end of a close-delimited run doesn't prove that the stream is
+  // complete, so the connection is closed without the last chunk.
+  if (isFramed && isCloseDelimited) response.socket?.destroySoon();
+  else response.end();
+  const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
+  return {
+    kind: 'answered',
+    statusCode,
+    timing: {
+      targetId: candidate.targetId,
+      triedCount: allowance.triedCount(),
+      events: eventCount,
+      firstEventMs: Math.round((firstEventAtMs ?? clock.monotonicMs()) - context.arrivedAtMs),
+      maxGapMs: Math.round(maxGapMs),
+    },
+  };
 };
--- a/packages/routing/src/createRetryBudget.ts
+++ b/packages/routing/src/createRetryBudget.ts
@@ -12,6 +12,8 @@
   readonly deadlineAtMs: number;
   /** Expected duration of the retry. */
   readonly expectedMs: number;
+  /** Whether the request may succeed without this retry; such a retry leaves part of the reserve to others. */
+  readonly isOptional?: boolean;
 }
 
 /** Whether a retry may be made, and why not. */
@@ -30,6 +32,8 @@
 }
 
 const defaultReserve = 10;
+/** Part of the reserve that optional retries leave to requests that fail without a retry. */
+const requiredReserveFraction = 0.25;
 
 /** Creates a budget with a full reserve. */
 export const createRetryBudget = (options: RetryBudgetOptions): RetryBudget => {
@@ -47,7 +51,8 @@
       if (nowMs + request.expectedMs > request.deadlineAtMs) {
         return { kind: 'denied', reason: 'past-deadline' };
       }
-      if (fraction === 0 || balance < 1) return { kind: 'denied', reason: 'budget-spent' };
+      const minBalance = 1 + (request.isOptional ? reserve * requiredReserveFraction : 0);
+      if (fraction === 0 || balance < minBalance) return { kind: 'denied', reason: 'budget-spent' };
       balance -= 1;
       return { kind: 'allowed' };
     },
