Formation: failing tests for groups that are broken up while a sound member is silent

A member that leaves two probes unanswered, about 0.3 s, is taken for lost; its group is closed and sheds the requests that it runs, although a sound target may be silent for a second. The detector is given what it lacks: whether the daemons have requests in progress in the group.

--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -97,7 +97,14 @@
     });
   };
 
-  const detector = createLossDetector({ clock, log, orders, onChange: scheduleStep });
+  const hasWork = ({ membership }: fleet.Target): boolean => {
+    if (membership === undefined) return false;
+    const groupKey = fleet.groupKeyOf(membership);
+    const head = targets.groups().find(({ key }) => key === groupKey)?.head;
+    return head !== undefined && (lease.allLoads()[fleet.runKeyOf(head)] ?? 0) > 0;
+  };
+
+  const detector = createLossDetector({ clock, log, orders, hasWork, onChange: scheduleStep });
   const memberCheck = createMemberCheck({ clock, targets, orders });
   const headCheck = createHeadCheck({
     clock,
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -24,6 +24,8 @@
   readonly daemonCount: () => number;
   /** Returns the requests that other daemons have in progress, as recently reported. */
   readonly otherLoads: () => TargetLoads;
+  /** Returns the requests that all daemons have in progress, this one among them. */
+  readonly allLoads: () => TargetLoads;
   /** Returns the addresses of some other live daemons, the holder among them. */
   readonly contactAddresses: () => readonly string[];
   /** Makes a standby check in with the holder at the next tick. */
@@ -328,6 +330,14 @@
     };
   });
 
+  const readOtherLoads = (): TargetLoads => {
+    if (isHolder()) {
+      pruneDaemons();
+      return sumLoadsExcept('');
+    }
+    return clock.monotonicMs() - holderUpdate.atMs < loadsValidityMs ? holderUpdate.loads : {};
+  };
+
   return {
     state: () => {
       if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
@@ -335,13 +345,8 @@
     },
     resign: stepDown,
     daemonCount: () => (isHolder() ? countDaemons() : daemonCount),
-    otherLoads: () => {
-      if (isHolder()) {
-        pruneDaemons();
-        return sumLoadsExcept('');
-      }
-      return clock.monotonicMs() - holderUpdate.atMs < loadsValidityMs ? holderUpdate.loads : {};
-    },
+    otherLoads: readOtherLoads,
+    allLoads: () => sumLoads([readOtherLoads(), options.ownLoads()]),
     contactAddresses: () => {
       if (isHolder()) return samplePeers(address);
       const holderAddresses = holder === undefined ? [] : [holder.address];
--- a/packages/formation/src/createLossDetector.ts
+++ b/packages/formation/src/createLossDetector.ts
@@ -19,6 +19,8 @@
   readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
   readonly orders: Pick<TargetOrders, 'probe'>;
+  /** Reports whether requests are in progress in the group of a target. */
+  readonly hasWork: (target: fleet.Target) => boolean;
   readonly onChange: () => void;
 }
 
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -44,6 +44,68 @@
   },
 });
 
+/** Creates a detector whose target is silent, with a clock to move. */
+const createSilentCase = (hasWork: () => boolean) => {
+  let answer: Answer = 'silent';
+  const clock = clocks.createManualClock(10_000);
+  const detector = createLossDetector({
+    clock,
+    log,
+    orders: createOrders(() => answer),
+    hasWork,
+    onChange: () => {},
+  });
+  const listed = new Map([['a', target('a')]]);
+  return {
+    isLost: () => detector.isLost(target('a')),
+    setAnswer: (next: Answer) => {
+      answer = next;
+    },
+    suspect: async () => {
+      detector.suspect([target('a')], false);
+      await settle();
+    },
+    advance: async (byMs: number) => {
+      for (let passedMs = 0; passedMs < byMs; passedMs += 100) {
+        clock.advance(100);
+        detector.tick(listed);
+        await settle();
+      }
+    },
+  };
+};
+
+test('does not give up a silent target while requests run in its group', async () => {
+  const silent = createSilentCase(() => true);
+  await silent.suspect();
+  assert.not(silent.isLost());
+  await silent.advance(1_300);
+  assert.not(silent.isLost(), 'a sound target may be silent for a second or so');
+  silent.setAnswer('lives');
+  await silent.advance(2_000);
+  assert.not(silent.isLost());
+});
+
+test('gives up a target that is silent for longer than a sound one, or that has ended', async () => {
+  const silent = createSilentCase(() => true);
+  await silent.suspect();
+  await silent.advance(1_700);
+  assert.ok(silent.isLost());
+  const ended = createSilentCase(() => true);
+  ended.setAnswer('refused');
+  await ended.suspect();
+  assert.ok(ended.isLost());
+});
+
+test('gives up a silent target once no request runs in its group any more', async () => {
+  let hasWork = true;
+  const silent = createSilentCase(() => hasWork);
+  await silent.suspect();
+  assert.not(silent.isLost());
+  hasWork = false;
+  assert.ok(silent.isLost());
+});
+
 const detect = async (answers: readonly Answer[], isKnownSilent = false) => {
   const left = [...answers];
   let askedCount = 0;
@@ -52,7 +114,13 @@
     return left.shift() ?? 'lives';
   });
   const clock = clocks.createManualClock(10_000);
-  const detector = createLossDetector({ clock, log, orders, onChange: () => {} });
+  const detector = createLossDetector({
+    clock,
+    log,
+    orders,
+    hasWork: () => false,
+    onChange: () => {},
+  });
   detector.suspect([target('a')], isKnownSilent);
   await settle();
   return { isLost: detector.isLost(target('a')), askedCount };
