Formation: keep a group with a silent member while requests run in it

What callers saw: streams broken off by their head, although the member that had fallen silent was sound and would have gone on (LOST, same class as the runs that the relay gave up).

Cause: two unanswered probes, about 0.3 s, made a member lost, and the group was closed at once with its work shed. What ran there was given up before the hedges had taken it over, or where none was allowed.

Change: as long as the daemons report requests in progress at the head, a member that is only silent is kept for up to 1.5 s and probed every 400 ms. A refused connection, another run, or a group without work is given up at once, as before.

--- a/packages/formation/src/createLossDetector.ts
+++ b/packages/formation/src/createLossDetector.ts
@@ -9,6 +9,10 @@
   readonly suspect: (targets: readonly fleet.Target[], isKnownSilent: boolean) => void;
   /** Records that a target has responded. */
   readonly recordResponse: (target: fleet.Target) => void;
+  /**
+   * Reports whether a target is given up. A silent one may be sound and go on, so it is kept for a while as long as
+   * requests run in its group.
+   */
   readonly isLost: (target: fleet.Target) => boolean;
   /** Removes targets that are no longer listed, and probes lost ones again at intervals. */
   readonly tick: (listed: ReadonlyMap<string, fleet.Target>) => void;
@@ -32,12 +36,20 @@
 const responseValidityMs = 400;
 /** Time between probes of a lost target that is still listed. */
 const recheckMs = 2_000;
+/** Sound targets may be silent for a second or so. */
+const maxSoundSilenceMs = 1_500;
+/** Time between probes of a silent target that is kept because of its work. */
+const silentRecheckMs = 400;
 
 interface SuspectState {
   readonly silentCount: number;
   readonly isProbing: boolean;
   readonly respondedAtMs: number;
   readonly probedAtMs: number;
+  /** When the first probe in a row went unanswered. */
+  readonly silentSinceMs: number | undefined;
+  /** Whether the target is known to have ended, rather than being silent. */
+  readonly hasEnded: boolean;
   readonly lost: boolean;
 }
 
@@ -46,6 +58,8 @@
   isProbing: false,
   respondedAtMs: -Infinity,
   probedAtMs: -Infinity,
+  silentSinceMs: undefined,
+  hasEnded: false,
   lost: false,
 };
 
@@ -61,18 +75,37 @@
     suspects.set(fleet.runKeyOf(target), { ...stateOf(target), ...change });
   };
 
+  /** Reports whether a lost target may be sound, and requests that run in its group would be given up with it. */
+  const isKeptForWork = (target: fleet.Target): boolean => {
+    const { silentSinceMs, hasEnded } = stateOf(target);
+    if (hasEnded || silentSinceMs === undefined) return false;
+    return clock.monotonicMs() - silentSinceMs < maxSoundSilenceMs && options.hasWork(target);
+  };
+
   const setLost = (target: fleet.Target, lost: boolean, reason: string) => {
     if (stateOf(target).lost === lost) return;
     update(target, { lost });
     log.info(
-      { step: 'probe', targetId: target.id, peer: target.address, lost, reason },
+      {
+        step: 'probe',
+        targetId: target.id,
+        peer: target.address,
+        lost,
+        reason,
+        isKeptForWork: isKeptForWork(target),
+      },
       lost ? 'target is considered lost' : 'target responds again',
     );
     options.onChange();
   };
 
   const recordResponse = (target: fleet.Target) =>
-    update(target, { silentCount: 0, respondedAtMs: clock.monotonicMs() });
+    update(target, {
+      silentCount: 0,
+      silentSinceMs: undefined,
+      hasEnded: false,
+      respondedAtMs: clock.monotonicMs(),
+    });
 
   const probe = async (target: fleet.Target): Promise<void> => {
     update(target, { isProbing: true, probedAtMs: clock.monotonicMs() });
@@ -81,12 +114,18 @@
     if (result.ok) {
       recordResponse(target);
       const isOtherRun = result.value.startedAtMs !== target.startedAtMs;
+      update(target, { hasEnded: isOtherRun });
       setLost(target, isOtherRun, isOtherRun ? 'another run answers' : 'answered');
       return;
     }
-    const silentCount = stateOf(target).silentCount + 1;
-    update(target, { silentCount });
+    const { silentCount: earlierCount, silentSinceMs, probedAtMs } = stateOf(target);
+    const silentCount = earlierCount + 1;
     const isRefused = result.error.kind === 'refused';
+    update(target, {
+      silentCount,
+      silentSinceMs: silentSinceMs ?? probedAtMs,
+      hasEnded: isRefused,
+    });
     if (isRefused || silentCount >= silentProbeLimit) {
       setLost(target, true, result.error.message);
       return;
@@ -116,14 +155,18 @@
       recordResponse(target);
       setLost(target, false, 'answered');
     },
-    isLost: (target) => suspects.get(fleet.runKeyOf(target))?.lost ?? false,
+    isLost: (target) => stateOf(target).lost && !isKeptForWork(target),
     tick: (listed) => {
       const nowMs = clock.monotonicMs();
       const byKey = new Map([...listed.values()].map((target) => [fleet.runKeyOf(target), target]));
       suspects.forEach((suspect, key) => {
         const target = byKey.get(key);
-        if (target === undefined) suspects.delete(key);
-        else if (suspect.lost && nowMs - suspect.probedAtMs >= recheckMs) startProbe(target);
+        if (target === undefined) {
+          suspects.delete(key);
+          return;
+        }
+        const intervalMs = isKeptForWork(target) ? silentRecheckMs : recheckMs;
+        if (suspect.lost && nowMs - suspect.probedAtMs >= intervalMs) startProbe(target);
       });
     },
   };
