Relay: hedge only to a target that has delivered since the other one fell silent

A target that is silent as well is no better place for a run. The silence of both is compared instead; an idle head is still taken.

--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -24,13 +24,19 @@
       readonly failure: SendFailure;
     };
 
+/** How long a run has delivered nothing, and what that is taken for. */
+export interface Silence {
+  readonly silentMs: number;
+  readonly reason: string;
+}
+
 /** One run of a stream on one target. */
 export interface StreamAttempt {
   readonly candidate: Candidate;
   readonly progress: StreamProgress;
   readonly control: RunControl;
   /** Called whenever the run is found silent; the run goes on. */
-  readonly onSilent: (message: string) => void;
+  readonly onSilent: (silence: Silence) => void;
 }
 
 /** Reports whether an event is the next one of the stream; events without ids can't be checked and pass. */
@@ -133,8 +139,8 @@
 
   const reportSilence = (reason: string) => {
     if (signal.aborted) return;
-    const silentMs = Math.round(dependencies.clock.monotonicMs() - (lastEventAtMs() ?? sentAtMs));
-    attempt.onSilent(`${reason}: nothing came for ${silentMs} ms`);
+    const silentMs = dependencies.clock.monotonicMs() - (lastEventAtMs() ?? sentAtMs);
+    attempt.onSilent({ silentMs, reason });
   };
 
   const checkMembers = async (groupKey: string) => {
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -29,10 +29,10 @@
   /** Decides on the first run, or on the next one after all earlier ones have failed. */
   readonly next: (nowMs: number) => RunDecision;
   /**
-   * Decides on a hedge: a run on another target while a silent one goes on. It needs a target that can start it at
-   * once and is not silent itself.
+   * Decides on a hedge: a run on another target beside one that has been silent for `silentMs`. It needs a target that
+   * can start it at once and has delivered something meanwhile, unless it is idle.
    */
-  readonly hedge: (nowMs: number) => RunDecision;
+  readonly hedge: (nowMs: number, silentMs: number) => RunDecision;
   /** Records a run that the target has rejected, or that the target may have executed and failed. */
   readonly onFailure: (ran: 'not-run' | 'unknown', wasRejected: boolean) => void;
   /** Returns the number of failed runs that a target may have executed. */
@@ -53,8 +53,8 @@
 
 /** A request with less time left is not sent. */
 const minSendBudgetMs = 20;
-/** Lower bound of the time without any data after which a target is no place for a hedge. */
-const minSilentMs = 250;
+/** A target that is silent for this fraction of the time of another one may be silent for the same reason. */
+const sharedSilenceFraction = 0.5;
 
 const deny = (denial: RunDenial): RunDecision => ({ kind: 'denied', denial });
 
@@ -66,7 +66,6 @@
 ): RunAllowance => {
   const { route, service, deadlineAtMs } = context;
   const retryBudget = dependencies.retryBudgets.of(service.name);
-  const maxSilentMs = Math.max(minSilentMs, route.latencyTargetMs);
   const tried = new Set<string>();
   let notRunCount = 0;
   let rejectionCount = 0;
@@ -75,8 +74,10 @@
   /** Number of runs that a target may have executed, including those in progress. */
   const runCount = () => tried.size - notRunCount;
 
-  const isSilent = ({ stats }: Candidate, nowMs: number) =>
-    stats.silentSinceMs !== undefined && nowMs - stats.silentSinceMs >= maxSilentMs;
+  const canHedge = (candidate: Candidate, nowMs: number, silentMs: number): boolean => {
+    const { silentSinceMs = nowMs } = candidate.stats;
+    return hasFreeSlot(candidate) && nowMs - silentSinceMs < silentMs * sharedSilenceFraction;
+  };
 
   const findRetryDenial = (): RunDenial | undefined => {
     if (runCount() > 0 && !options.isRepeatable) return { reason: 'not-repeatable' };
@@ -85,7 +86,8 @@
     return undefined;
   };
 
-  const decide = (nowMs: number, isHedge: boolean): RunDecision => {
+  const decide = (nowMs: number, hedgedSilenceMs?: number): RunDecision => {
+    const isHedge = hedgedSilenceMs !== undefined;
     const isRetry = tried.size > 0;
     const retryDenial = isRetry ? findRetryDenial() : undefined;
     if (!context.isStillAuthorized()) return deny({ reason: 'unauthorized' });
@@ -98,7 +100,7 @@
     const candidates = options
       .listCandidates(nowMs)
       .filter(({ key }) => !tried.has(key))
-      .filter((candidate) => !isHedge || (hasFreeSlot(candidate) && !isSilent(candidate, nowMs)));
+      .filter((candidate) => !isHedge || canHedge(candidate, nowMs, hedgedSilenceMs));
     const candidate = chooseTarget(candidates, { nowMs, random: dependencies.random });
     if (candidate === undefined) return deny({ reason: 'no-target' });
     if (!isRetry && options.needsFreeSlot && !hasFreeSlot(candidate)) {
@@ -115,8 +117,8 @@
   };
 
   return {
-    next: (nowMs) => decide(nowMs, false),
-    hedge: (nowMs) => decide(nowMs, true),
+    next: (nowMs) => decide(nowMs),
+    hedge: decide,
     onFailure: (ran, wasRejected) => {
       if (ran === 'unknown') failedRunCount += 1;
       else notRunCount += 1;
--- a/packages/relay/src/runs/superviseRuns.ts
+++ b/packages/relay/src/runs/superviseRuns.ts
@@ -11,8 +11,8 @@
 export interface RunControl {
   /** Aborts when another run has taken the lead. */
   readonly signal: AbortSignal;
-  /** Asks for a hedge since the target is silent; the run goes on. Returns whether one was started. */
-  readonly onSilent: () => boolean;
+  /** Asks for a hedge since the run has been silent for `silentMs`; it goes on. Returns whether one was started. */
+  readonly onSilent: (silentMs: number) => boolean;
   /** Stops all other runs; called before anything of this run reaches the caller. */
   readonly takeLead: () => void;
 }
@@ -93,11 +93,11 @@
     running.add(run);
     newest = run;
 
-    const onSilent = (): boolean => {
+    const onSilent = (silentMs: number): boolean => {
       const nowMs = clock.monotonicMs();
       // A hedge of this run may still be faster, and asks for the next one itself.
       if (!running.has(run) || run !== newest || nowMs < nextHedgeAtMs) return false;
-      const decision = allowance.hedge(nowMs);
+      const decision = allowance.hedge(nowMs, silentMs);
       if (decision.kind === 'allowed') start(decision.candidate, 'hedge');
       else nextHedgeAtMs = nowMs + hedgeRetryMs;
       return decision.kind === 'allowed';
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -107,8 +107,9 @@
     const monitored = createMonitoredRun(context, candidate);
     crashMonitor.onDispatch(monitored);
     const hedgeTimer = setInterval(() => {
-      if (isIdempotent && control.onSilent()) {
-        targetTracker.onFailure(candidate.key, clock.monotonicMs());
+      const nowMs = clock.monotonicMs();
+      if (isIdempotent && control.onSilent(nowMs - sentAtMs)) {
+        targetTracker.onFailure(candidate.key, nowMs);
       }
     }, hedgeDelayMs);
     const result = await attemptExchange(dependencies, context, candidate, control.signal);
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,4 +1,4 @@
-import { attemptStream, type StreamResult } from './attemptStream';
+import { attemptStream, type Silence, type StreamResult } from './attemptStream';
 import { utilizationOf, type Candidate } from './chooseTarget';
 import type { RunEnd } from './crashes/createCrashMonitor';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
@@ -103,19 +103,19 @@
     return { kind: 'refused', refusal: createRefusal(denial) };
   };
 
-  const recordSilence = (
+  const hedge = (
     candidate: Candidate,
     control: RunControl,
     sentAtMs: number,
-    text: string,
+    { silentMs, reason }: Silence,
   ) => {
-    const isHedged = control.onSilent();
-    if (!isHedged) return;
+    if (!control.onSilent(silentMs)) return;
     const nowMs = clock.monotonicMs();
     targetTracker.onFailure(candidate.key, nowMs);
     targetTracker.avoid(candidate.key, nowMs + avoidStalledMs);
     dependencies.failureReporter.suspect(candidate.targetId);
-    log.info(logFieldsOf(candidate, sentAtMs), `target ${candidate.targetId}: ${text}; hedged`);
+    const text = `${reason}: nothing came for ${Math.round(silentMs)} ms; hedged`;
+    log.info(logFieldsOf(candidate, sentAtMs), `target ${candidate.targetId}: ${text}`);
   };
 
   const recordFailure = (candidate: Candidate, { failure, sentAtMs }: FailedRun) => {
@@ -151,7 +151,7 @@
       candidate,
       progress,
       control,
-      onSilent: (text) => recordSilence(candidate, control, sentAtMs, text),
+      onSilent: (silence) => hedge(candidate, control, sentAtMs, silence),
     });
     const checked = crashMonitor.onEnd(monitored, endOfStream(result));
     if (result.kind === 'complete') {
--- a/packages/relay/src/silentTargets.test.ts
+++ b/packages/relay/src/silentTargets.test.ts
@@ -160,4 +160,19 @@
   });
 });
 
+test('are not replaced by a target that is silent as well', async () => {
+  const silent = [1, 2].map(() => observe(createSilentStream(1, silentMs)));
+  const targets = silent.map(({ listener }, index) => ({ id: `t${index + 1}`, listener }));
+  await withRelay({ targets, confirmLoss: isLost, slots: 10 }, async ({ url }) => {
+    const answers = await Promise.all(Array.from({ length: 8 }, () => call(url)));
+    answers.forEach(({ status, text, isComplete }) => {
+      assert.equal([status, text], [200, eventsOf(1, 4)]);
+      assert.ok(isComplete);
+    });
+    const requestCount = silent.reduce((sum, { counts }) => sum + counts.requests, 0);
+    assert.ok(silent.every(({ counts }) => counts.requests > 0));
+    assert.is(requestCount, answers.length);
+  });
+});
+
 test.run();
--- a/packages/routing/src/limits.test.ts
+++ b/packages/routing/src/limits.test.ts
@@ -81,4 +81,16 @@
   assert.equal(budget.tryRetry(createRetry(), 0), { kind: 'denied', reason: 'budget-spent' });
 });
 
+test('leaves part of the reserve to requests that fail without a retry', () => {
+  const budget = routing.createRetryBudget({ fraction: 0.1, reserve: 8 });
+  const optional = { ...createRetry(), isOptional: true };
+  const countAllowed = (request: routing.RetryRequest) => {
+    let count = 0;
+    while (budget.tryRetry(request, 0).kind === 'allowed') count += 1;
+    return count;
+  };
+  assert.is(countAllowed(optional), 6);
+  assert.is(countAllowed(createRetry()), 2);
+});
+
 test.run();
