Relay: supervision of runs survives a throwing run, hedges again, and waits for no check of another run

Only the next run waits for it. A hedge that failed is followed by the same pause as one that was denied.

--- a/packages/relay/src/runs/superviseRuns.ts
+++ b/packages/relay/src/runs/superviseRuns.ts
@@ -1,6 +1,6 @@
 import type * as clocks from '@comfreydrum/clock';
 import type { Candidate } from '../chooseTarget';
-import type { RunAllowance, RunDenial } from './createRunAllowance';
+import type { RunAllowance, RunDecision, RunDenial } from './createRunAllowance';
 
 /** The end of one run. */
 export type RunResult<Success, Failure> =
@@ -9,12 +9,17 @@
 
 /** What a run tells the supervisor, and how the supervisor stops it. */
 export interface RunControl {
-  /** Aborts when another run has taken the lead. */
+  /** Aborts when another run has delivered first. */
   readonly signal: AbortSignal;
-  /** Asks for a hedge since the run has been silent for `silentMs`; it goes on. Returns whether one was started. */
-  readonly onSilent: (silentMs: number) => boolean;
+  /**
+   * Asks for a hedge since the run has been silent for `silentMs`; it goes on. Returns the decision, or undefined if
+   * it is too early for one.
+   */
+  readonly onSilent: (silentMs: number) => RunDecision | undefined;
   /** Stops all other runs; called before anything of this run reaches the caller. */
-  readonly takeLead: () => void;
+  readonly stopOtherRuns: () => void;
+  /** Reports whether no other run is in progress. */
+  readonly isOnlyRun: () => boolean;
 }
 
 /** Why a run starts. */
@@ -24,7 +29,7 @@
   readonly clock: clocks.Clock;
   readonly allowance: RunAllowance;
   readonly callerDisconnected: AbortSignal;
-  /** Runs the request on a target; never rejects. */
+  /** Runs the request on a target. */
   readonly run: (
     candidate: Candidate,
     reason: RunReason,
@@ -44,7 +49,7 @@
   readonly abort: AbortController;
 }
 
-/** Time after a denied hedge until the next one is asked for. */
+/** Time after a hedge that was denied or has failed until the next one. */
 const hedgeRetryMs = 250;
 
 /** Creates a queue of the runs that have ended; `next` waits for one. */
@@ -68,6 +73,10 @@
   };
 };
 
+/** The end of a run: its result, or the error that it threw. */
+type RunEnd<Success, Failure> =
+  RunResult<Success, Failure> | { readonly kind: 'threw'; readonly cause: unknown };
+
 /**
  * Runs a request until a run succeeds or no further one is allowed. A run is stopped only when another one delivers,
  * so a target that is silent for a while keeps its run unless a hedge is faster.
@@ -76,58 +85,68 @@
   options: SuperviseOptions<Success, Failure>,
 ): Promise<SuperviseResult<Success>> => {
   const { clock, allowance, callerDisconnected } = options;
+  /** In the order in which they started. */
   const running = new Set<Run>();
-  const ended = createEndQueue<{ run: Run; result: RunResult<Success, Failure> }>();
-  let newest: Run | undefined;
+  const ended = createEndQueue<{ run: Run; end: RunEnd<Success, Failure> }>();
+  let failuresRecorded = Promise.resolve();
   let nextHedgeAtMs = -Infinity;
 
-  const stopOthers = (leader: Run) =>
+  const stopAllExcept = (kept?: Run) =>
     running.forEach((run) => {
-      if (run === leader) return;
+      if (run === kept) return;
       running.delete(run);
-      run.abort.abort(new Error('another run took the lead'));
+      run.abort.abort(new Error('another run has delivered first'));
     });
 
   const start = (candidate: Candidate, reason: RunReason) => {
     const run: Run = { candidate, abort: new AbortController() };
     running.add(run);
-    newest = run;
 
-    const onSilent = (silentMs: number): boolean => {
+    const onSilent = (silentMs: number): RunDecision | undefined => {
       const nowMs = clock.monotonicMs();
       // A hedge of this run may still be faster, and asks for the next one itself.
-      if (!running.has(run) || run !== newest || nowMs < nextHedgeAtMs) return false;
+      if ([...running].at(-1) !== run || nowMs < nextHedgeAtMs) return undefined;
       const decision = allowance.hedge(nowMs, silentMs);
       if (decision.kind === 'allowed') start(decision.candidate, 'hedge');
       else nextHedgeAtMs = nowMs + hedgeRetryMs;
-      return decision.kind === 'allowed';
+      return decision;
     };
 
     const control: RunControl = {
       signal: run.abort.signal,
       onSilent,
-      takeLead: () => {
-        if (running.has(run)) stopOthers(run);
+      stopOtherRuns: () => {
+        if (running.has(run)) stopAllExcept(run);
       },
+      isOnlyRun: () => running.size === 1 && running.has(run),
     };
-    void options.run(candidate, reason, control).then((result) => ended.push({ run, result }));
+    options.run(candidate, reason, control).then(
+      (end) => ended.push({ run, end }),
+      (cause: unknown) => ended.push({ run, end: { kind: 'threw', cause } }),
+    );
   };
 
-  for (;;) {
-    if (running.size === 0) {
-      const decision = allowance.next(clock.monotonicMs());
-      if (decision.kind === 'denied') return decision;
-      start(decision.candidate, decision.isRetry ? 'retry' : 'first');
-    }
-    const { run, result } = await ended.next();
-    if (callerDisconnected.aborted) return { kind: 'caller-gone' };
-    if (!running.has(run)) continue;
-    if (result.kind === 'succeeded') {
-      stopOthers(run);
-      return result;
+  try {
+    for (;;) {
+      if (running.size === 0) {
+        await failuresRecorded;
+        const decision = allowance.next(clock.monotonicMs());
+        if (decision.kind === 'denied') return decision;
+        start(decision.candidate, decision.isRetry ? 'retry' : 'first');
+      }
+      const { run, end } = await ended.next();
+      if (callerDisconnected.aborted) return { kind: 'caller-gone' };
+      if (!running.has(run)) continue;
+      if (end.kind === 'succeeded') return end;
+      if (end.kind === 'threw') throw end.cause;
+      running.delete(run);
+      nextHedgeAtMs = clock.monotonicMs() + hedgeRetryMs;
+      const recorded = options.onFailure(run.candidate, end.failure);
+      failuresRecorded = Promise.all([failuresRecorded, recorded]).then(() => {});
+      // A rejection is thrown where the next run waits for it.
+      failuresRecorded.catch(() => {});
     }
-    running.delete(run);
-    newest = [...running].at(-1);
-    await options.onFailure(run.candidate, result.failure);
+  } finally {
+    stopAllExcept();
   }
 };
