--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -95,8 +95,9 @@
     if (status.kind === 'quarantined') {
       return deny({ reason: 'quarantined', retryAfterMs: status.retryAfterMs });
     }
-    if (retryDenial !== undefined) return deny(retryDenial);
     if (deadlineAtMs - nowMs < minSendBudgetMs) return deny({ reason: 'deadline-reached' });
+    if (retryDenial !== undefined) return deny(retryDenial);
+    if (isHedge && !retryBudget.canRetry(isHedge)) return deny({ reason: 'budget-spent' });
     const candidates = options
       .listCandidates(nowMs)
       .filter(({ key }) => !tried.has(key))
--- a/packages/routing/src/createRetryBudget.ts
+++ b/packages/routing/src/createRetryBudget.ts
@@ -24,6 +24,8 @@
 /** Limits retries to a fraction of the first attempts. */
 export interface RetryBudget {
   readonly onFirstAttempt: () => void;
+  /** Reports whether the balance allows a retry now; an optional one leaves part of the reserve. */
+  readonly canRetry: (isOptional: boolean) => boolean;
   /** Decides on a retry and deducts it from the budget if it is allowed. */
   readonly tryRetry: (request: RetryRequest, nowMs: number) => RetryDecision;
   readonly setFraction: (fraction: number) => void;
@@ -40,10 +42,14 @@
   let { fraction, reserve = defaultReserve } = options;
   let balance = reserve;
 
+  const canRetry = (isOptional: boolean): boolean =>
+    fraction > 0 && balance >= 1 + (isOptional ? reserve * requiredReserveFraction : 0);
+
   return {
     onFirstAttempt: () => {
       balance = Math.min(reserve, balance + fraction);
     },
+    canRetry,
     tryRetry: (request, nowMs) => {
       if (request.triedIds.has(request.targetId)) {
         return { kind: 'denied', reason: 'target-tried' };
@@ -51,8 +57,7 @@
       if (nowMs + request.expectedMs > request.deadlineAtMs) {
         return { kind: 'denied', reason: 'past-deadline' };
       }
-      const minBalance = 1 + (request.isOptional ? reserve * requiredReserveFraction : 0);
-      if (fraction === 0 || balance < minBalance) return { kind: 'denied', reason: 'budget-spent' };
+      if (!canRetry(request.isOptional ?? false)) return { kind: 'denied', reason: 'budget-spent' };
       balance -= 1;
       return { kind: 'allowed' };
     },
