Relay: streams that must not be repeated use no kept connection; silent targets are avoided without a hedge

Found by the review, each with a test that failed before: - A target that closes a kept connection as a request arrives costs a stream that may run once its answer (502). Such streams take a new connection, as other requests do that may run once. - A head that fell silent got new streams for as long as no hedge was allowed: its silence was only recorded with a hedge. - A hedge whose answer ended without an event and without a length replaced a sound run, and the caller was cut off. - A stopped exchange counted as progress of its target. Exchanges are hedged from the stall monitor, which skips late ticks.

--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -47,7 +47,7 @@
     const { answer } = sent.matched;
     const read = await targetClient.readWholeBody(answer.body, candidate.address, maxResponseBytes);
     const nowMs = clock.monotonicMs();
-    targetTracker.onProgress(candidate.key, nowMs);
+    if (!isUnwanted()) targetTracker.onProgress(candidate.key, nowMs);
     if (!read.ok) {
       if (!isUnwanted()) targetTracker.onFailure(candidate.key, nowMs);
       const { message } = read.error;
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -87,7 +87,7 @@
         if (!isNext(event, lastEventId)) {
           return `event ${event.id} came after event ${lastEventId}`;
         }
-        control.takeLead();
+        control.stopOtherRuns();
         writeHead();
         if (!response.write(event.bytes)) answer.body.pause();
         recordEvent(event.id, nowMs);
@@ -108,8 +108,14 @@
       onEnd: (cause) => {
         if (cause !== undefined) settle(errors.describeCause(cause));
         else if (splitter.bufferedBytes() > 0) settle('the answer ended in the middle of an event');
+        else if (
+          isFirstOfRun &&
+          isCloseDelimited(answer, context.request.method) &&
+          !control.isOnlyRun()
+        )
+          settle('the answer ended without an event, perhaps broken off');
         else {
-          control.takeLead();
+          control.stopOtherRuns();
           writeHead();
           settle(undefined);
         }
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -1,6 +1,7 @@
 import type * as errors from '@comfreydrum/errors';
 import type * as targetClient from '@comfreydrum/target-client';
 import type { Candidate } from './chooseTarget';
+import { isRepeatable } from './isRepeatable';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import type { ResponseMetadata } from './TargetWire';
@@ -77,8 +78,7 @@
 ): Promise<SendResult> => {
   const { request } = context;
   const remainingMs = Math.floor(context.deadlineAtMs - dependencies.clock.monotonicMs());
-  const client =
-    context.route.kind === 'non-idempotent' ? dependencies.singleUseClient : dependencies.client;
+  const client = isRepeatable(context.route) ? dependencies.client : dependencies.singleUseClient;
   const sent = await client.send({
     url: `http://${candidate.address}`,
     path: request.url,
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -2,6 +2,7 @@
 import type { Candidate } from './chooseTarget';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
 import type { RunEnd } from './crashes/createCrashMonitor';
+import { isRepeatable } from './isRepeatable';
 import { makeCloseDelimited } from './makeCloseDelimited';
 import { refuseUnverifiedKey } from './refuseUnverifiedKey';
 import { createNotRunRefusal, createFailureRefusal, createQuarantineRefusal } from './Refusal';
@@ -52,11 +53,10 @@
 ): Promise<ServeResult> => {
   const { clock, log, crashMonitor, targetTracker } = dependencies;
   const { route, request, service } = context;
-  const isIdempotent = route.kind === 'idempotent';
   const hedgeDelayMs = Math.max(minHedgeDelayMs, route.latencyTargetMs * hedgeDelayFraction);
   const allowance = createRunAllowance(dependencies, context, {
     listCandidates: (nowMs) => dependencies.directory.standaloneTargets(service, nowMs),
-    isRepeatable: isIdempotent,
+    isRepeatable: isRepeatable(route),
     needsFreeSlot: false,
     maxRejections,
   });
@@ -106,14 +106,15 @@
     dependencies.metrics.dispatches.add({ service: service.name, reason });
     const monitored = createMonitoredRun(context, candidate);
     crashMonitor.onDispatch(monitored);
-    const hedgeTimer = setInterval(() => {
-      const nowMs = clock.monotonicMs();
-      if (isIdempotent && control.onSilent(nowMs - sentAtMs)) {
+    const stopWatching = dependencies.stallMonitor.add((nowMs) => {
+      const silentMs = nowMs - sentAtMs;
+      if (!isRepeatable(route) || silentMs < hedgeDelayMs) return;
+      if (control.onSilent(silentMs)?.kind === 'allowed') {
         targetTracker.onFailure(candidate.key, nowMs);
       }
-    }, hedgeDelayMs);
+    });
     const result = await attemptExchange(dependencies, context, candidate, control.signal);
-    clearInterval(hedgeTimer);
+    stopWatching();
     const checked = crashMonitor.onEnd(monitored, endOfExchange(result));
     if (result.kind === 'answered' && result.answer.statusCode < firstFailureStatus) {
       return { kind: 'succeeded', success: result.answer } as const;
--- a/packages/relay/src/serveStream.test.ts
+++ b/packages/relay/src/serveStream.test.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { call } from './testing/callers';
@@ -268,4 +269,43 @@
   });
 });
 
+test('responds with 504 at the timeout, every time, to a stream that may run once', async () => {
+  const silent: http.RequestListener = (request) => {
+    request.resume();
+  };
+  const options = {
+    targets: [{ id: 't1', listener: silent }],
+    route: { timeoutMs: 300, isResumable: false },
+    slots: 1_000,
+  };
+  await withRelay(options, async ({ url }) => {
+    const answers = await Promise.all(
+      Array.from({ length: 120 }, async (_, index) => {
+        await delay(index * 3.3);
+        return (await call(url, { headers: { 'x-id': `r${index}` } })).status;
+      }),
+    );
+    assert.equal(new Set(answers), new Set([504]));
+  });
+});
+
+test('sends a stream that must not be repeated on a new connection', async () => {
+  const used = new WeakSet<object>();
+  const closing: http.RequestListener = (request, response) => {
+    // A target may close an idle connection just as the next request arrives.
+    if (used.has(request.socket)) {
+      request.socket.destroy();
+      return;
+    }
+    used.add(request.socket);
+    createStreamTarget(2, 's1')(request, response);
+  };
+  const options = { targets: [{ id: 't1', listener: closing }], route: { isResumable: false } };
+  await withRelay(options, async ({ url }) => {
+    assert.is((await call(url)).status, 200);
+    await delay(30);
+    assert.is((await call(url, { headers: { 'x-id': 'r2' } })).status, 200);
+  });
+});
+
 test.run();
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -3,6 +3,7 @@
 import type { RunEnd } from './crashes/createCrashMonitor';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
 import { createStreamProgress } from './createStreamProgress';
+import { isRepeatable } from './isRepeatable';
 import { refuseUnverifiedKey } from './refuseUnverifiedKey';
 import {
   createNotRunRefusal,
@@ -57,10 +58,11 @@
   const progress = createStreamProgress(request.lastEventId);
   const allowance = createRunAllowance(dependencies, context, {
     listCandidates: (nowMs) => dependencies.directory.groupHeads(service, request.modelName, nowMs),
-    isRepeatable: route.isResumable,
+    isRepeatable: isRepeatable(route),
     needsFreeSlot: true,
     maxRejections,
   });
+  const silentKeys = new Set<string>();
   let message = `no group serves model ${request.modelName} of service ${service.name}`;
 
   const logFieldsOf = (candidate: Candidate, sentAtMs: number) => ({
@@ -103,18 +105,23 @@
     return { kind: 'refused', refusal: createRefusal(denial) };
   };
 
-  const hedge = (
+  /** Lets other requests avoid a silent target, and starts a hedge if it is allowed. */
+  const handleSilence = (
     candidate: Candidate,
     control: RunControl,
     sentAtMs: number,
     { silentMs, reason }: Silence,
   ) => {
-    if (!control.onSilent(silentMs)) return;
     const nowMs = clock.monotonicMs();
-    targetTracker.onFailure(candidate.key, nowMs);
+    const isNew = !silentKeys.has(candidate.key);
+    silentKeys.add(candidate.key);
     targetTracker.avoid(candidate.key, nowMs + avoidStalledMs);
-    dependencies.failureReporter.suspect(candidate.targetId);
-    const text = `${reason}: nothing came for ${Math.round(silentMs)} ms; hedged`;
+    const decision = control.onSilent(silentMs);
+    if (isNew) targetTracker.onFailure(candidate.key, nowMs);
+    if (decision?.kind === 'allowed') dependencies.failureReporter.suspect(candidate.targetId);
+    if (decision === undefined || (decision.kind === 'denied' && !isNew)) return;
+    const hedge = decision.kind === 'allowed' ? 'hedged' : `not hedged: ${decision.denial.reason}`;
+    const text = `${reason}: nothing came for ${Math.round(silentMs)} ms; ${hedge}`;
     log.info(logFieldsOf(candidate, sentAtMs), `target ${candidate.targetId}: ${text}`);
   };
 
@@ -151,7 +158,7 @@
       candidate,
       progress,
       control,
-      onSilent: (silence) => hedge(candidate, control, sentAtMs, silence),
+      onSilent: (silence) => handleSilence(candidate, control, sentAtMs, silence),
     });
     const checked = crashMonitor.onEnd(monitored, endOfStream(result));
     if (result.kind === 'complete') {
--- a/packages/relay/src/silentTargets.test.ts
+++ b/packages/relay/src/silentTargets.test.ts
@@ -85,15 +85,16 @@
 
   test(`keep their stream when the other target rejects it, ${position}`, async () => {
     const silent = observe(createSilentStream(before, silentMs));
+    const rejecting = observe(reject);
     const targets = [
       { id: 't1', listener: silent.listener },
-      { id: 't2', listener: observe(reject).listener },
+      { id: 't2', listener: rejecting.listener },
     ];
     await withRelay({ targets, confirmLoss: isLost }, async ({ url }) => {
       const answer = await call(url);
       assert.equal([answer.status, answer.text], [200, eventsOf(1, 4)]);
       assert.ok(answer.isComplete);
-      assert.is(silent.counts.requests, 1);
+      assert.equal([silent.counts.requests, rejecting.counts.requests], [1, 1]);
     });
   });
 
@@ -175,4 +176,107 @@
   });
 });
 
+const hangAndCount = () => observe(hang);
+
+test('get no new streams while no hedge is allowed', async () => {
+  const silent = hangAndCount();
+  const targets = [
+    { id: 't1', listener: silent.listener },
+    { id: 't2', listener: createStreamTarget(4, 'other') },
+  ];
+  await withRelay({ targets, confirmLoss: isLost, fleetRetryReserve: 0 }, async ({ url }) => {
+    const first = call(url);
+    await delay(silentMs);
+    const second = await call(url, { headers: { 'x-id': 'r2' } });
+    assert.is(second.status, 200);
+    assert.is(silent.counts.requests, 1);
+    await first;
+  });
+});
+
+test('are hedged again when they go on and then fall silent for good', async () => {
+  const first: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    response.write(eventOf(1));
+    setTimeout(() => response.write(eventOf(2)), 170);
+  };
+  const targets = [
+    { id: 't1', listener: first },
+    { id: 't2', listener: createStreamTarget(4, 's2') },
+    { id: 't3', listener: hang },
+  ];
+  await withRelay({ targets, confirmLoss: isLost, route: { maxTargets: 3 } }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.text, eventsOf(1, 4));
+    assert.ok(answer.isComplete);
+  });
+});
+
+test('keep their stream when the other target ends without an event', async () => {
+  const empty: http.RequestListener = (request, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+    beginStream(request, response, 's2');
+    response.end();
+  };
+  const targets = [
+    { id: 't1', listener: createSilentStream(2, 700) },
+    { id: 't2', listener: empty },
+  ];
+  await withRelay({ targets, confirmLoss: isLost }, async ({ url }) => {
+    const answer = await call(url);
+    assert.is(answer.text, eventsOf(1, 4));
+    assert.ok(answer.isComplete);
+  });
+});
+
+test('are left as soon as the other target delivers its first event', async () => {
+  let leftAtMs = Infinity;
+  let firstEventAtMs = 0;
+  const silent: http.RequestListener = (request, response) => {
+    request.resume();
+    response.once('close', () => {
+      leftAtMs = performance.now();
+    });
+  };
+  const slow: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's2');
+    response.write(eventOf(1));
+    firstEventAtMs = performance.now();
+    setTimeout(() => response.end(eventsOf(2, 4)), 300);
+  };
+  const targets = [
+    { id: 't1', listener: silent },
+    { id: 't2', listener: slow },
+  ];
+  await withRelay({ targets, confirmLoss: isLost }, async ({ url }) => {
+    assert.is((await call(url)).text, eventsOf(1, 4));
+    assert.ok(leftAtMs - firstEventAtMs < 100, `${leftAtMs - firstEventAtMs} ms`);
+  });
+});
+
+test('lose no stream that must not be repeated to another target', async () => {
+  const other = observe(createStreamTarget(4, 'other'));
+  const targets = [
+    { id: 't1', listener: createSilentStream(0, silentMs) },
+    { id: 't2', listener: other.listener },
+  ];
+  const route = { isResumable: false, maxTargets: 3 };
+  await withRelay({ targets, confirmLoss: isLost, route }, async ({ url }) => {
+    assert.is((await call(url)).text, eventsOf(1, 4));
+    assert.is(other.counts.requests, 0);
+  });
+});
+
+test('have their streams on no more targets than the route allows', async () => {
+  const hanging = [1, 2, 3, 4].map(hangAndCount);
+  const targets = hanging.map(({ listener }, index) => ({ id: `t${index + 1}`, listener }));
+  const route = { maxTargets: 2, timeoutMs: 2_500 };
+  await withRelay({ targets, confirmLoss: isLost, route }, async ({ url }) => {
+    assert.is((await call(url)).status, 504);
+    const requestCount = hanging.reduce((sum, { counts }) => sum + counts.requests, 0);
+    assert.is(requestCount, 2);
+  });
+});
+
 test.run();
