Formation: a group with a silent member finishes its work, and a silent head keeps its members

New requests went on reaching the silent head.

Change: a silent member makes the head close at once, so that nothing new reaches it, but it finishes its work. It sheds the rest once the member surely is lost: the port refuses, another run answers, or it was silent for 1.5 s. A silent head is left alone until it surely is lost; only then are the daemons asked whether any reaches it, and its members leave.

--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -97,14 +97,7 @@
     });
   };
 
-  const hasWork = ({ membership }: fleet.Target): boolean => {
-    if (membership === undefined) return false;
-    const groupKey = fleet.groupKeyOf(membership);
-    const head = targets.groups().find(({ key }) => key === groupKey)?.head;
-    return head !== undefined && (lease.allLoads()[fleet.runKeyOf(head)] ?? 0) > 0;
-  };
-
-  const detector = createLossDetector({ clock, log, orders, hasWork, onChange: scheduleStep });
+  const detector = createLossDetector({ clock, log, orders, onChange: scheduleStep });
   const memberCheck = createMemberCheck({ clock, targets, orders });
   const headCheck = createHeadCheck({
     clock,
@@ -192,7 +185,7 @@
         const { group, head, mode, reason } = next;
         const ref = { token, groupName: group.name, epoch: group.epoch };
         orderTracker.recordOrder(head);
-        orderTracker.recordClose(group);
+        orderTracker.recordClose(group, mode);
         sendOrder(head, 'close', { ...ref, mode, reason }, async () => {
           const outcome = await orders.close(head, ref, mode);
           orderTracker.recordCloseResponse(group, toOrderResponse(outcome));
@@ -235,6 +228,8 @@
         engine,
         targets: [...listed.values()].filter(({ serviceName }) => serviceName === name),
         isLost: detector.isLost,
+        isSurelyLost: detector.isSurelyLost,
+        isFinishing: orderTracker.isFinishing,
         isHeadGone: headCheck.isGone,
         hasHeadLeft: (group) => headCheck.hasLeft(group, listed),
         isForming: orderTracker.isForming,
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -24,8 +24,6 @@
   readonly daemonCount: () => number;
   /** Returns the requests that other daemons have in progress, as recently reported. */
   readonly otherLoads: () => TargetLoads;
-  /** Returns the requests that all daemons have in progress, this one among them. */
-  readonly allLoads: () => TargetLoads;
   /** Returns the addresses of some other live daemons, the holder among them. */
   readonly contactAddresses: () => readonly string[];
   /** Makes a standby check in with the holder at the next tick. */
@@ -330,14 +328,6 @@
     };
   });
 
-  const readOtherLoads = (): TargetLoads => {
-    if (isHolder()) {
-      pruneDaemons();
-      return sumLoadsExcept('');
-    }
-    return clock.monotonicMs() - holderUpdate.atMs < loadsValidityMs ? holderUpdate.loads : {};
-  };
-
   return {
     state: () => {
       if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
@@ -345,8 +335,13 @@
     },
     resign: stepDown,
     daemonCount: () => (isHolder() ? countDaemons() : daemonCount),
-    otherLoads: readOtherLoads,
-    allLoads: () => sumLoads([readOtherLoads(), options.ownLoads()]),
+    otherLoads: () => {
+      if (isHolder()) {
+        pruneDaemons();
+        return sumLoadsExcept('');
+      }
+      return clock.monotonicMs() - holderUpdate.atMs < loadsValidityMs ? holderUpdate.loads : {};
+    },
     contactAddresses: () => {
       if (isHolder()) return samplePeers(address);
       const holderAddresses = holder === undefined ? [] : [holder.address];
--- a/packages/formation/src/createLossDetector.ts
+++ b/packages/formation/src/createLossDetector.ts
@@ -9,11 +9,10 @@
   readonly suspect: (targets: readonly fleet.Target[], isKnownSilent: boolean) => void;
   /** Records that a target has responded. */
   readonly recordResponse: (target: fleet.Target) => void;
-  /**
-   * Reports whether a target is given up. A silent one may be sound and go on, so it is kept for a while as long as
-   * requests run in its group.
-   */
+  /** Reports whether a target is considered lost; one that is only silent may be sound and go on. */
   readonly isLost: (target: fleet.Target) => boolean;
+  /** Reports whether a target has ended, or has been silent for longer than a sound one. */
+  readonly isSurelyLost: (target: fleet.Target) => boolean;
   /** Removes targets that are no longer listed, and probes lost ones again at intervals. */
   readonly tick: (listed: ReadonlyMap<string, fleet.Target>) => void;
 }
@@ -23,8 +22,6 @@
   readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
   readonly orders: Pick<TargetOrders, 'probe'>;
-  /** Reports whether requests are in progress in the group of a target. */
-  readonly hasWork: (target: fleet.Target) => boolean;
   readonly onChange: () => void;
 }
 
@@ -38,16 +35,18 @@
 const recheckMs = 2_000;
 /** Sound targets may be silent for a second or so. */
 const maxSoundSilenceMs = 1_500;
-/** Time between probes of a silent target that is kept because of its work. */
-const silentRecheckMs = 400;
+/** Time between probes of a silent target that may be sound. */
+const silentRecheckMs = 250;
 
 interface SuspectState {
   readonly silentCount: number;
   readonly isProbing: boolean;
   readonly respondedAtMs: number;
   readonly probedAtMs: number;
-  /** When the first probe in a row went unanswered. */
+  /** When the first probe in a row that went unanswered was sent. */
   readonly silentSinceMs: number | undefined;
+  /** When the last one timed out. */
+  readonly silentUntilMs: number;
   /** Whether the target is known to have ended, rather than being silent. */
   readonly hasEnded: boolean;
   readonly lost: boolean;
@@ -59,6 +58,7 @@
   respondedAtMs: -Infinity,
   probedAtMs: -Infinity,
   silentSinceMs: undefined,
+  silentUntilMs: -Infinity,
   hasEnded: false,
   lost: false,
 };
@@ -75,11 +75,10 @@
     suspects.set(fleet.runKeyOf(target), { ...stateOf(target), ...change });
   };
 
-  /** Reports whether a lost target may be sound, and requests that run in its group would be given up with it. */
-  const isKeptForWork = (target: fleet.Target): boolean => {
-    const { silentSinceMs, hasEnded } = stateOf(target);
+  const mayBeSound = (target: fleet.Target): boolean => {
+    const { silentSinceMs, silentUntilMs, hasEnded } = stateOf(target);
     if (hasEnded || silentSinceMs === undefined) return false;
-    return clock.monotonicMs() - silentSinceMs < maxSoundSilenceMs && options.hasWork(target);
+    return silentUntilMs - silentSinceMs < maxSoundSilenceMs;
   };
 
   const setLost = (target: fleet.Target, lost: boolean, reason: string) => {
@@ -92,7 +91,7 @@
         peer: target.address,
         lost,
         reason,
-        isKeptForWork: isKeptForWork(target),
+        mayBeSound: mayBeSound(target),
       },
       lost ? 'target is considered lost' : 'target responds again',
     );
@@ -124,6 +123,7 @@
     update(target, {
       silentCount,
       silentSinceMs: silentSinceMs ?? probedAtMs,
+      silentUntilMs: clock.monotonicMs(),
       hasEnded: isRefused,
     });
     if (isRefused || silentCount >= silentProbeLimit) {
@@ -155,7 +155,8 @@
       recordResponse(target);
       setLost(target, false, 'answered');
     },
-    isLost: (target) => stateOf(target).lost && !isKeptForWork(target),
+    isLost: (target) => stateOf(target).lost,
+    isSurelyLost: (target) => stateOf(target).lost && !mayBeSound(target),
     tick: (listed) => {
       const nowMs = clock.monotonicMs();
       const byKey = new Map([...listed.values()].map((target) => [fleet.runKeyOf(target), target]));
@@ -165,7 +166,7 @@
           suspects.delete(key);
           return;
         }
-        const intervalMs = isKeptForWork(target) ? silentRecheckMs : recheckMs;
+        const intervalMs = mayBeSound(target) ? silentRecheckMs : recheckMs;
         if (suspect.lost && nowMs - suspect.probedAtMs >= intervalMs) startProbe(target);
       });
     },
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -1,5 +1,6 @@
 import type * as clocks from '@comfreydrum/clock';
 import * as fleet from '@comfreydrum/fleet';
+import type { CloseMode } from './TargetOrders';
 
 /** Tracks the orders of this controller whose effect the list may not show yet. */
 export interface OrderTracker {
@@ -13,7 +14,9 @@
   /** Records the response to an order to open; one without a response may be executed at any time. */
   readonly recordOpenResponse: (group: KeyedGroup, response: OrderResponse) => void;
   /** Records an order to close, after which the group is never opened again. */
-  readonly recordClose: (group: KeyedGroup) => void;
+  readonly recordClose: (group: KeyedGroup, mode: CloseMode) => void;
+  /** Reports whether the last order to close a group lets it finish its work. */
+  readonly isFinishing: (group: KeyedGroup) => boolean;
   readonly recordCloseResponse: (group: KeyedGroup, response: OrderResponse) => void;
   readonly recordStaging: (target: fleet.Target, modelName: string) => void;
   /** Records a failed order; the target gets no other order for a short time. */
@@ -76,7 +79,7 @@
   const formedKeys = new Set<string>();
   /** Groups that may be open, or may still be opened by a delayed order. */
   const openStates = new Map<string, 'ordered' | 'open' | 'unanswered'>();
-  const closedKeys = new Set<string>();
+  const closeModes = new Map<string, CloseMode>();
   /** The highest epoch of an unanswered order to join, by run of a target. */
   const unansweredEpochs = new Map<string, number>();
 
@@ -114,9 +117,10 @@
       if (response === 'refused') openStates.delete(key);
       else openStates.set(key, response === 'accepted' ? 'open' : 'unanswered');
     },
-    recordClose: ({ key }) => {
-      closedKeys.add(key);
+    recordClose: ({ key }, mode) => {
+      closeModes.set(key, mode);
     },
+    isFinishing: ({ key }) => closeModes.get(key) === 'finish-work',
     recordCloseResponse: ({ key }, response) => {
       if (response === 'accepted' && openStates.get(key) === 'open') openStates.delete(key);
     },
@@ -165,7 +169,7 @@
     isForming: ({ key }) => pendingFormations.has(key),
     mayOpen: ({ key, epoch, members }) =>
       formedKeys.has(key) &&
-      !closedKeys.has(key) &&
+      !closeModes.has(key) &&
       members.every((member) => (unansweredEpochs.get(fleet.runKeyOf(member)) ?? 0) <= epoch),
     mayBeOpening: ({ key }) => !formedKeys.has(key) || openStates.has(key),
   };
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -98,8 +98,11 @@
       ];
     }
     if (condition.kind === 'openable') return [{ kind: 'open', group, head }];
+    if (condition.kind === 'must-shed') {
+      return [{ kind: 'close', group, head, mode: 'shed-work', reason: 'a member is lost' }];
+    }
     if (condition.kind !== 'must-close') return [];
-    const mode = condition.isMemberGone ? 'shed-work' : 'finish-work';
+    const mode = condition.shedsWork ? 'shed-work' : 'finish-work';
     const reason = condition.isMemberGone ? 'a member is lost' : 'a member is leaving';
     return [{ kind: 'close', group, head, mode, reason }];
   });
--- a/packages/formation/src/testing/simulateController.ts
+++ b/packages/formation/src/testing/simulateController.ts
@@ -70,7 +70,7 @@
         return;
       case 'close':
         orderTracker.recordOrder(step.head);
-        orderTracker.recordClose(step.group);
+        orderTracker.recordClose(step.group, step.mode);
         orderTracker.recordCloseResponse(
           step.group,
           toOrderResponse(fabric.close(step.head.id, step.group.name, step.mode)),
@@ -98,6 +98,8 @@
       engine,
       targets,
       isLost,
+      isSurelyLost: isLost,
+      isFinishing: orderTracker.isFinishing,
       isHeadGone: ({ key }) => {
         const headId = headIds.get(key);
         return headId === undefined || isLost({ id: headId });
