Log the parts that requests' prompts share

The line of a request's end and the line of a crash now list the shared parts (all but the last), in a bounded number, and explain-logs finds lines by a part. A loss carries the parts of the requests that it interrupted; nothing decides on them yet.

--- a/apps/comfreydrumctl/src/explainFromLogs.test.ts
+++ b/apps/comfreydrumctl/src/explainFromLogs.test.ts
@@ -47,6 +47,17 @@
   assert.is(lines.length, 3);
 });
 
+test('lists different requests by a part that their prompts share', () => {
+  const requests = [1, 2].map((second) =>
+    line(second, { requestId: `r${second}`, step: 'request', sharedPartIds: ['5c', `a${second}`] }),
+  );
+  const crash = line(3, { step: 'crash', targetId: 'i-1', sharedPartIds: ['5c', 'a1', 'a2'] });
+  const verdict = line(4, { step: 'quarantine', partId: '5c', targetIds: ['i-1'] });
+  const logLines = readLogLines([...requests, crash, verdict].join('\n'));
+  assert.is(explainFromLogs('5c', logLines).length, 4);
+  assert.is(explainFromLogs('a2', logLines).length, 2);
+});
+
 test('returns no lines for an unknown id', () => {
   assert.equal(explainFromLogs('r9', readLogLines(logs)), []);
 });
--- a/apps/comfreydrumctl/src/explainFromLogs.ts
+++ b/apps/comfreydrumctl/src/explainFromLogs.ts
@@ -48,7 +48,8 @@
 };
 
 /**
- * Returns the log lines of several daemons about one request, fingerprint, group or target, in time order: the
+ * Returns the log lines of several daemons about one request, fingerprint, part of prompts, group or target, in time
+ * order: the
  * lines that name it, and lines about the groups and targets named there that are at most `relatedWindowMs`
  * earlier or later and belong to no other request.
  */
@@ -58,6 +59,8 @@
       fields.requestId,
       fields.fingerprint,
       ...(Array.isArray(fields.fingerprints) ? fields.fingerprints : []),
+      fields.partId,
+      ...(Array.isArray(fields.sharedPartIds) ? fields.sharedPartIds : []),
       fields.targetId,
       fields.group,
       fields.groupName,
--- a/packages/relay/src/CallerRequest.ts
+++ b/packages/relay/src/CallerRequest.ts
@@ -16,6 +16,8 @@
   /** How long the caller is willing to wait for the response. */
   readonly timeLimitMs: number | undefined;
   readonly modelName: string | undefined;
+  /** Ids of the parts of the prompt, in order; the last one belongs to the request itself or to its session. */
+  readonly promptPartIds: readonly string[];
   /** Id of the last event that the caller received, when it resumes a stream. */
   readonly lastEventId: number | undefined;
 }
--- a/packages/relay/src/RequestContext.ts
+++ b/packages/relay/src/RequestContext.ts
@@ -11,6 +11,8 @@
   readonly body: Buffer | null;
   /** Hash of the customer, method, URL and body; equal for every attempt to send the same request. */
   readonly fingerprint: string;
+  /** Ids of the parts of the prompt that other requests may share. */
+  readonly sharedPartIds: readonly string[];
   readonly response: http.ServerResponse;
   readonly arrivedAtMs: number;
   /** Deadline on the monotonic clock. */
--- a/packages/relay/src/crashes/createCrashMonitor.test.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.test.ts
@@ -10,9 +10,14 @@
 
 const stats = createTargetTracker().read('any', 0);
 
-const createRun = (fingerprint: string, targetId: string, count = 1): MonitoredRun => ({
-  runId: `${fingerprint}/${targetId}/${count}`,
+const createRun = (
+  fingerprint: string,
+  targetId: string,
+  sharedPartIds: readonly string[] = [],
+): MonitoredRun => ({
+  runId: `${fingerprint}/${targetId}`,
   fingerprint,
+  sharedPartIds,
   candidate: {
     key: `${targetId}@1`,
     targetId,
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -9,6 +9,8 @@
   /** Unique in this daemon. */
   readonly runId: string;
   readonly fingerprint: string;
+  /** Ids of the parts of the prompt that other requests may share. */
+  readonly sharedPartIds: readonly string[];
   readonly candidate: Candidate;
 }
 
@@ -73,6 +75,7 @@
 const completionValidityMs = 10_000;
 /** Enough for the requests that a daemon completes within the validity. */
 const maxCompletions = 4_096;
+const maxLoggedParts = 32;
 
 /** Only a completed run shows that the request does not crash targets. */
 const quarantineOutcomes = {
@@ -89,6 +92,11 @@
   failureDomain,
 }: Candidate): routing.CrashTarget => ({ targetId, generation: startedAtMs, failureDomain });
 
+/** Returns the ids of all parts of prompts that were on a lost target. */
+const listParts = ({ requestParts = [] }: routing.LossUpdate): readonly string[] => [
+  ...new Set(requestParts.flatMap(({ partIds }) => partIds)),
+];
+
 /** Creates a monitor without recorded crashes. */
 export const createCrashMonitor = (options: CrashMonitorOptions): CrashMonitor => {
   const { clock, log, processCheck, publish } = options;
@@ -147,8 +155,16 @@
     const fingerprints = update.fingerprints.filter((fingerprint) => !cleared.has(fingerprint));
     const { targetId } = lost;
     const clearedCount = cleared.size;
+    const sharedPartIds = listParts(update).slice(0, maxLoggedParts);
     log.info(
-      { step: 'crash', targetId, headId: ranOn.targetId, fingerprints, clearedCount },
+      {
+        step: 'crash',
+        targetId,
+        headId: ranOn.targetId,
+        fingerprints,
+        sharedPartIds,
+        clearedCount,
+      },
       'target ended while it ran requests',
     );
     if (fingerprints.length === 0) return;
@@ -183,8 +199,10 @@
       if (status.kind === 'quarantined') reviewSuspects([fingerprint]);
       return status;
     },
-    onDispatch: ({ runId, fingerprint, candidate }) =>
-      quarantine.onDispatch(runId, fingerprint, crashTargetOf(candidate), clock.monotonicMs()),
+    onDispatch: ({ runId, fingerprint, sharedPartIds, candidate }) => {
+      const target = crashTargetOf(candidate);
+      quarantine.onDispatch(runId, fingerprint, target, clock.monotonicMs(), sharedPartIds);
+    },
     onEnd: async ({ runId, fingerprint, candidate }, end) => {
       const nowMs = clock.monotonicMs();
       const cleared = quarantine.onEnd(runId, quarantineOutcomes[end], nowMs);
--- a/packages/relay/src/crashes/createMonitoredRun.ts
+++ b/packages/relay/src/crashes/createMonitoredRun.ts
@@ -6,9 +6,9 @@
 
 /** Creates a run of a request on a target, with an id of its own. */
 export const createMonitoredRun = (
-  { fingerprint }: RequestContext,
+  { fingerprint, sharedPartIds }: RequestContext,
   candidate: Candidate,
-): MonitoredRun => ({ runId: randomUUID(), fingerprint, candidate });
+): MonitoredRun => ({ runId: randomUUID(), fingerprint, sharedPartIds, candidate });
 
 /** Returns how a failed run ended. */
 export const endOfFailure = ({ ran, wasBroken, wasAnswered }: SendFailure): RunEnd => {
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -11,12 +11,14 @@
 import { serveExchange } from './serveExchange';
 import type { ServeResult } from './ServeResult';
 import { serveStream } from './serveStream';
+import { sharedPartIdsOf } from './sharedPartIdsOf';
 import { writeRefusal } from './writeRefusal';
 
 /** Maximum age of the plan for a denial of an unknown route; an older plan is refreshed first. */
 const maxDenialPlanAgeMs = 4_000;
 const noPlanRetryAfterMs = 500;
 const stalePlanRetryAfterMs = 700;
+const maxLoggedParts = 16;
 
 const refused = (refusal: Refusal): ServeResult => ({ kind: 'refused', refusal });
 
@@ -110,6 +112,7 @@
     customerName,
     body: body.bytes,
     fingerprint,
+    sharedPartIds: sharedPartIdsOf(request),
     response,
     arrivedAtMs,
     deadlineAtMs: arrivedAtMs + timeLimitMs,
@@ -167,6 +170,7 @@
     writeRefusal(response, result.refusal, callerWire.responseHeaders(request));
   }
   const plan = dependencies.plan.current();
+  const sharedPartIds = sharedPartIdsOf(request).slice(0, maxLoggedParts);
   log.info(
     {
       requestId: request.requestId,
@@ -174,6 +178,7 @@
       path: request.path,
       model: request.modelName,
       fingerprint: result.fingerprint,
+      ...(sharedPartIds.length > 0 ? { sharedPartIds } : {}),
       tookMs: Math.round(clock.monotonicMs() - arrivedAtMs),
       planRevision: plan?.revision,
       planAgeMs: Math.round(dependencies.plan.ageMs()),
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -125,6 +125,9 @@
       key: message.headers['x-key'] as string | undefined,
       timeLimitMs: limit === undefined ? undefined : Number(limit),
       modelName: message.headers['x-model'] as string | undefined,
+      promptPartIds: String(message.headers['x-parts'] ?? '')
+        .split(',')
+        .filter((id) => id !== ''),
       lastEventId: last === undefined ? undefined : Number(last),
     };
   },
--- a/packages/routing/src/Quarantine.ts
+++ b/packages/routing/src/Quarantine.ts
@@ -5,12 +5,20 @@
   readonly failureDomain: string;
 }
 
+/** A request that was running on a lost target, with the parts of its prompt that other requests may share. */
+export interface RequestParts {
+  readonly fingerprint: string;
+  readonly partIds: readonly string[];
+}
+
 /** Reports to other daemons that a target was lost, with the requests that it was running. */
 export interface LossUpdate {
   readonly kind: 'loss';
   readonly target: CrashTarget;
   /** Fingerprints of the requests that the target was running for the sending daemon. */
   readonly fingerprints: readonly string[];
+  /** The requests whose prompts have parts that other requests may share. */
+  readonly requestParts?: readonly RequestParts[] | undefined;
   readonly ageMs: number;
 }
 
@@ -64,6 +72,7 @@
     fingerprint: string,
     target: CrashTarget,
     nowMs: number,
+    partIds?: readonly string[],
   ) => void;
   /**
    * Records the end of a request. A completed request is no longer suspect, and the returned
--- a/packages/routing/src/createQuarantine.ts
+++ b/packages/routing/src/createQuarantine.ts
@@ -7,6 +7,7 @@
   type LossUpdate,
   type Quarantine,
   type QuarantineStatus,
+  type RequestParts,
 } from './Quarantine';
 
 export interface QuarantineOptions {
@@ -38,6 +39,7 @@
 
 interface Run {
   readonly fingerprint: string;
+  readonly partIds: readonly string[];
   readonly targetKey: string;
   readonly sentAtMs: number;
   /** Time until which the run may cause the loss of its target; set when the run is stopped. */
@@ -51,6 +53,16 @@
 const maxLosses = 2_048;
 const clearStatus: QuarantineStatus = { kind: 'clear' };
 
+/** Lists the requests of lost runs that share parts of their prompts, each once. */
+const requestPartsOf = (runs: readonly Run[]): readonly RequestParts[] => {
+  const partsOfRequest = new Map(
+    runs
+      .filter(({ partIds }) => partIds.length > 0)
+      .map(({ fingerprint, partIds }) => [fingerprint, partIds]),
+  );
+  return [...partsOfRequest].map(([fingerprint, partIds]) => ({ fingerprint, partIds }));
+};
+
 /** Creates a quarantine without entries. */
 export const createQuarantine = (options: QuarantineOptions = {}): Quarantine => {
   const {
@@ -221,10 +233,10 @@
       entries.delete(fingerprint);
       return clearStatus;
     },
-    onDispatch: (requestId, fingerprint, target, nowMs) => {
+    onDispatch: (requestId, fingerprint, target, nowMs, partIds = []) => {
       dropExpiredStopped(nowMs);
       const targetKey = targetKeyOf(target);
-      runs.set(requestId, { fingerprint, targetKey, sentAtMs: nowMs });
+      runs.set(requestId, { fingerprint, partIds, targetKey, sentAtMs: nowMs });
       runsOfTarget.set(targetKey, (runsOfTarget.get(targetKey) ?? new Set()).add(requestId));
     },
     onEnd: (requestId, outcome, nowMs): ClearedUpdate | undefined => {
@@ -252,7 +264,9 @@
         recordCrash(fingerprint, targetKey, nowMs, nowMs - sentAtMs),
       );
       const fingerprints = [...new Set(lostRuns.map(({ fingerprint }) => fingerprint))];
-      return { kind: 'loss', target, fingerprints, ageMs: nowMs - atMs };
+      const requestParts = requestPartsOf(lostRuns);
+      const update = { kind: 'loss', target, fingerprints, ageMs: nowMs - atMs } as const;
+      return requestParts.length === 0 ? update : { ...update, requestParts };
     },
     onUpdate: (update, nowMs) => {
       if (update.kind === 'cleared') {
