Relay: failing tests for parts of prompts that crash targets

Requests of which no two are alike, but whose prompts share a part that crashes every worker that begins to answer it, reach workers as long as they come (BUDGET): the quarantine only knows a fingerprint of the whole request. Stand-ins of workers now crash on a part of the prompt: before the head, after it, or after some events.

--- a/packages/relay/src/crashes/quarantinedRequests.test.ts
+++ b/packages/relay/src/crashes/quarantinedRequests.test.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { call } from '../testing/callers';
@@ -8,6 +9,9 @@
 const test = uvu.suite('quarantined requests');
 
 const crashingBody = 'ends the process';
+const crashingPart = 'bad';
+/** By this time after the first crash, a part of prompts may be quarantined. */
+const settledMs = 1_200;
 const targetIds = ['t1', 't2', 't3', 't4', 't5'];
 const crashLimit = 3;
 
@@ -30,8 +34,11 @@
     (id: string): http.RequestListener =>
     (request, response) => {
       void readBody(request).then((body) => {
-        if (body === crashingBody) runCount += 1;
-        if (body === crashingBody && isAnsweredWithFailure(runCount)) {
+        const isCrashing =
+          body === crashingBody ||
+          String(request.headers['x-parts']).split(',').includes(crashingPart);
+        if (isCrashing) runCount += 1;
+        if (isCrashing && isAnsweredWithFailure(runCount)) {
           response.writeHead(500, { 'x-id': String(request.headers['x-id']) }).end('failed');
           return;
         }
@@ -39,7 +46,7 @@
           beginStream(request, response, id);
           response.write(eventOf(1));
         }
-        if (body === crashingBody) {
+        if (isCrashing) {
           crashedIds.push(id);
           ends.target(id);
         } else if (kind === 'stream') response.end(eventsOf(2, 3));
@@ -86,6 +93,25 @@
     )),
 );
 
+test('refuses different requests that share a part which crashes targets, and no others', () =>
+  withCrashingTargets('non-idempotent', async ({ url }, crashedIds) => {
+    const send = (name: string, ...parts: readonly string[]) =>
+      call(url, { body: name, headers: { 'x-parts': [...parts, `of-${name}`].join() } });
+    for (let count = 0; count < 3; count += 1) {
+      await send(`crashing-${count}`, 'system', crashingPart);
+      assert.is((await send(`sound-${count}`, 'system')).status, 200);
+    }
+    await delay(settledMs);
+    const refused = await send('crashing-3', 'system', crashingPart);
+    assert.is(crashedIds.length, crashLimit);
+    assert.is(refused.status, 503);
+    assert.match(refused.text, '"cause":"quarantined","ran":"not-run"');
+    assert.match(refused.text, 'a part of the prompt is quarantined');
+    assert.ok(Number(refused.headers['retry-after']) > 0);
+    assert.is((await send('sound-3', 'system')).status, 200);
+    assert.is((await send('sound-4')).status, 200);
+  }));
+
 test('does not call a crashing request not run in the attempt in which it is quarantined', () =>
   withCrashingTargets('idempotent', async ({ url }, crashedIds) => {
     const answers = [];
