Relay: quarantine parts of prompts that crash targets

The quarantine only knew a fingerprint of the whole request.

Parts (all but the last of a prompt) are now suspected beside the requests. A part is quarantined after three losses under three different requests in which it leads the other parts; a part that completes is cleared.

A part counts as sound for 2 s after it has completed, not for 10 s as a request: one that turns bad would crash targets for that long. It is judged from 1 s after its first loss on, so that other daemons' completions are known. There is no number of losses that is enough by itself, since a system prompt is on every target that another part crashes.

--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -1,4 +1,5 @@
 import type * as targetClient from '@comfreydrum/target-client';
+import type { QuarantineSubject } from './crashes/createCrashMonitor';
 
 /** The reason why the relay ends a request with an error response of its own. */
 export type RefusalCause =
@@ -46,9 +47,18 @@
   message,
 });
 
-/** Creates the refusal of a request that is quarantined because it crashes targets. */
-export const createQuarantineRefusal = (runCount: number, retryAfterMs: number): Refusal => {
-  const message = 'the request is quarantined: targets ended while they ran it';
+const quarantineMessages: Readonly<Record<QuarantineSubject, string>> = {
+  request: 'the request is quarantined: targets ended while they ran it',
+  'prompt-part':
+    'a part of the prompt is quarantined: targets ended while they ran requests that share it',
+};
+
+/** Creates the refusal of a request that is quarantined because it, or a part of its prompt, crashes targets. */
+export const createQuarantineRefusal = (
+  runCount: number,
+  { subject, retryAfterMs }: { readonly subject: QuarantineSubject; readonly retryAfterMs: number },
+): Refusal => {
+  const message = quarantineMessages[subject];
   return runCount === 0
     ? createNotRunRefusal('quarantined', message, retryAfterMs)
     : createFailureRefusal('quarantined', message);
--- a/packages/relay/src/crashes/createCrashExchange.test.ts
+++ b/packages/relay/src/crashes/createCrashExchange.test.ts
@@ -106,6 +106,18 @@
   assert.is(new Set(fingerprintsOf(two)).size, count);
 });
 
+test('delivers the parts of lost requests, and losses of daemons that send none', async () => {
+  const { daemons } = createDaemons(['one', 'two']);
+  const requestParts = [{ fingerprint: 'f', partIds: ['5c', '91'] }];
+  daemons[0]!.exchange.publish({ ...lossOf('f'), requestParts });
+  daemons[0]!.exchange.publish(lossOf('g'));
+  await settle();
+  assert.equal(
+    daemons[1]!.received.map((update) => update.kind === 'loss' && update.requestParts),
+    [requestParts, undefined],
+  );
+});
+
 test('ignores check-ins of daemons without crash updates', () => {
   const { daemons } = createDaemons(['holder', 'one'], false);
   const [holder, one] = daemons as [TestDaemon, TestDaemon];
--- a/packages/relay/src/crashes/createCrashMonitor.test.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.test.ts
@@ -18,6 +18,7 @@
   runId: `${fingerprint}/${targetId}`,
   fingerprint,
   sharedPartIds,
+  isResumed: false,
   candidate: {
     key: `${targetId}@1`,
     targetId,
@@ -191,4 +192,154 @@
   assert.equal(monitor.verdicts(), []);
 });
 
+/** Other daemons have reported completions of a part this long after its first loss. */
+const settlingMs = 1_000;
+
+const lossOf = (
+  targetId: string,
+  requestParts: readonly routing.RequestParts[],
+): routing.LossUpdate => {
+  const target = { targetId, generation: 1, failureDomain: 'a' };
+  const fingerprints = requestParts.map(({ fingerprint }) => fingerprint);
+  return { kind: 'loss', target, fingerprints, requestParts, ageMs: 0 };
+};
+
+type TestMonitor = ReturnType<typeof createMonitor>['monitor'];
+
+const completeRun = async (monitor: TestMonitor, run: MonitoredRun) => {
+  monitor.onDispatch(run);
+  await monitor.onEnd(run, 'completed');
+};
+
+const breakRuns = async (monitor: TestMonitor, runs: readonly MonitoredRun[]) => {
+  runs.forEach(monitor.onDispatch);
+  await Promise.all(runs.map((run) => monitor.onEnd(run, 'broken')));
+  await settle();
+};
+
+test('quarantines a part of different requests, and neither the parts beside it nor other requests', async () => {
+  const { monitor, published, clock } = createMonitor();
+  for (const name of ['1', '2', '3']) {
+    await breakRuns(monitor, [
+      createRun(`crashing-${name}`, `t${name}`, ['system', 'bad']),
+      createRun(`beside-${name}`, `t${name}`, ['system', 'document']),
+    ]);
+    await completeRun(monitor, createRun(`sound-${name}`, 'sound', ['system', 'document']));
+    clock.advance(settlingMs / 2);
+  }
+  const status = monitor.check('another', ['system', 'bad']);
+  assert.is(status.kind === 'quarantined' && status.subject, 'prompt-part');
+  assert.is(monitor.check('another', ['system', 'document']).kind, 'clear');
+  assert.equal(
+    monitor.verdicts().map(({ fingerprint }) => fingerprint),
+    ['part:bad'],
+  );
+  assert.ok(published.some((update) => update.kind === 'quarantined'));
+});
+
+test('quarantines a single request that is sent again and again without its parts', async () => {
+  const { monitor, clock } = createMonitor();
+  for (const targetId of ['t1', 't2', 't3', 't4', 't5', 't6']) {
+    await breakRuns(monitor, [createRun('f', targetId, ['system', 'document'])]);
+    clock.advance(settlingMs);
+  }
+  const status = monitor.check('f', ['system', 'document']);
+  assert.is(status.kind === 'quarantined' && status.subject, 'request');
+  assert.is.not(monitor.check('g', ['system', 'document']).kind, 'quarantined');
+});
+
+test('quarantines a part that requests completed with until it began to crash targets', async () => {
+  const { monitor, clock } = createMonitor();
+  await completeRun(monitor, createRun('earlier', 'sound', ['bad']));
+  let crashCount = 0;
+  while (monitor.check('another', ['bad']).kind !== 'quarantined') {
+    crashCount += 1;
+    await breakRuns(monitor, [createRun(`f${crashCount}`, `t${crashCount}`, ['bad'])]);
+    clock.advance(250);
+  }
+  // Four a second, with the fifth after one: at most three more seconds.
+  assert.ok(crashCount <= 16, `quarantined after ${crashCount} crashes`);
+});
+
+test('does not suspect a widely shared part when several targets end at once', async () => {
+  const { monitor, published, clock } = createMonitor();
+  await completeRun(monitor, createRun('sound', 'sound', ['system']));
+  clock.advance(settlingMs);
+  for (const name of ['1', '2', '3', '4', '5']) {
+    await breakRuns(monitor, [createRun(`f${name}`, `t${name}`, ['system'])]);
+  }
+  clock.advance(settlingMs);
+  assert.is(monitor.check('another', ['system']).kind, 'clear');
+  assert.not(published.some((update) => update.kind === 'loss' && update.requestParts));
+});
+
+test('does not clear a part by the rest of a stream', async () => {
+  const { monitor, clock } = createMonitor();
+  for (const name of ['1', '2', '3']) {
+    await breakRuns(monitor, [createRun(`f${name}`, `t${name}`, ['bad'])]);
+  }
+  await completeRun(monitor, { ...createRun('f3', 'sound', ['bad']), isResumed: true });
+  clock.advance(settlingMs);
+  assert.is(monitor.check('another', ['bad']).kind, 'quarantined');
+});
+
+test('waits for the check of a target when a part of the prompt is suspect', async () => {
+  let release = (_hasEnded: boolean) => {};
+  const { monitor } = createMonitor(
+    () =>
+      new Promise((resolve) => {
+        release = resolve;
+      }),
+  );
+  monitor.applyUpdates([lossOf('t1', [{ fingerprint: 'another', partIds: ['bad'] }])]);
+  const run = createRun('f', 't2', ['bad']);
+  monitor.onDispatch(run);
+  let isOver = false;
+  const ended = monitor.onEnd(run, 'broken').then(() => {
+    isOver = true;
+  });
+  await settle();
+  assert.not(isOver);
+  release(true);
+  await ended;
+});
+
+test('counts the losses that other daemons report with the parts of requests', () => {
+  const { monitor, clock } = createMonitor();
+  ['1', '2', '3'].forEach((name) =>
+    monitor.applyUpdates([lossOf(`t${name}`, [{ fingerprint: `f${name}`, partIds: ['bad'] }])]),
+  );
+  clock.advance(settlingMs);
+  assert.is(monitor.check('another', ['bad']).kind, 'quarantined');
+});
+
+test('clears parts that another daemon suspects in few messages', async () => {
+  const { monitor, published, clock } = createMonitor();
+  await completeRun(monitor, createRun('sound-0', 'sound', ['system']));
+  for (let count = 1; count <= 20; count += 1) {
+    const requestParts = [{ fingerprint: `f${count}`, partIds: ['system'] }];
+    monitor.applyUpdates([lossOf(`t${count}`, requestParts)]);
+    await completeRun(monitor, createRun(`sound-${count}`, 'sound', ['system']));
+    clock.advance(50);
+  }
+  const messageCount = published.filter(({ kind }) => kind === 'cleared').length;
+  assert.ok(messageCount >= 1 && messageCount <= 5, `${messageCount} messages in a second`);
+  clock.advance(settlingMs);
+  await completeRun(monitor, createRun('sound', 'sound', ['system']));
+  assert.is(monitor.check('another', ['system']).kind, 'clear');
+});
+
+test('applies, lifts and forgets the verdicts of other daemons on parts', () => {
+  const { monitor, clock } = createMonitor();
+  const verdict = { kind: 'quarantined', fingerprint: 'part:bad', ageMs: 0 } as const;
+  monitor.applyUpdates([verdict]);
+  assert.is(monitor.check('f', ['bad']).kind, 'quarantined');
+  monitor.applyUpdates([{ kind: 'cleared', fingerprint: 'part:bad', targetKeys: [] }]);
+  assert.is(monitor.check('f', ['bad']).kind, 'clear');
+  monitor.applyUpdates([verdict]);
+  clock.advance(600_000);
+  assert.is(monitor.check('f', ['bad']).kind, 'clear');
+  assert.equal(monitor.verdicts(), []);
+});
+
 test.run();
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -2,7 +2,10 @@
 import * as routing from '@comfreydrum/routing';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { Candidate } from '../chooseTarget';
+import { createPartMonitor } from './createPartMonitor';
 import type { ProcessCheck } from './createProcessCheck';
+import { createRecentKeys } from './createRecentKeys';
+import { partIdOfKey, partKeyOf } from './partKey';
 
 /** One run of a request on a target. */
 export interface MonitoredRun {
@@ -11,6 +14,8 @@
   readonly fingerprint: string;
   /** Ids of the parts of the prompt that other requests may share. */
   readonly sharedPartIds: readonly string[];
+  /** Whether the run resumes a stream, so that it runs only the rest of the request. */
+  readonly isResumed: boolean;
   readonly candidate: Candidate;
 }
 
@@ -31,26 +36,40 @@
   readonly startedAtMs: number;
 }
 
-/** When a request was quarantined, on the monotonic clock. */
+/** When a request or a part of prompts was quarantined, on the monotonic clock. */
 export interface Verdict {
+  /** The fingerprint of a request, or the key of a part as returned by `partKeyOf`. */
   readonly fingerprint: string;
   readonly atMs: number;
 }
 
-/** Finds the requests that crash the targets on which they run, and quarantines them. */
+/** What of a request is quarantined. */
+export type QuarantineSubject = 'request' | 'prompt-part';
+
+/** The worst status of a request and of the parts of its prompt. */
+export type CrashStatus =
+  | { readonly kind: 'clear' }
+  | { readonly kind: 'suspect' }
+  | {
+      readonly kind: 'quarantined';
+      readonly subject: QuarantineSubject;
+      readonly retryAfterMs: number;
+    };
+
+/** Finds the requests and the parts of prompts that crash the targets on which they run, and quarantines them. */
 export interface CrashMonitor {
-  readonly check: (fingerprint: string) => routing.QuarantineStatus;
+  readonly check: (fingerprint: string, sharedPartIds?: readonly string[]) => CrashStatus;
   readonly onDispatch: (run: MonitoredRun) => void;
   /**
-   * Records the end of a run. After a broken run of a request that was on a lost target before, it resolves only
-   * once it is known whether this target has ended too.
+   * Records the end of a run. After a broken run of a request that was on a lost target before, or has a part that
+   * was, it resolves only once it is known whether this target has ended too.
    */
   readonly onEnd: (run: MonitoredRun, end: RunEnd) => Promise<void>;
   /** Records that members of a group have ended while it was running requests. */
   readonly onMembersEnded: (head: Candidate, members: readonly EndedMember[]) => void;
   /** Applies updates of other daemons. */
   readonly applyUpdates: (updates: readonly routing.QuarantineUpdate[]) => void;
-  /** Returns the quarantined requests known to this daemon. */
+  /** Returns the quarantined requests and parts known to this daemon. */
   readonly verdicts: () => readonly Verdict[];
 }
 
@@ -65,7 +84,7 @@
   readonly publish: (update: routing.QuarantineUpdate) => void;
 }
 
-/** How long a request stays quarantined. */
+/** How long a request or a part stays quarantined. */
 export const quarantineLifetimeMs = 600_000;
 /** The process of a target may end this long after this daemon has closed its connection. */
 const stoppedRunWindowMs = 1_000;
@@ -92,11 +111,6 @@
   failureDomain,
 }: Candidate): routing.CrashTarget => ({ targetId, generation: startedAtMs, failureDomain });
 
-/** Returns the ids of all parts of prompts that were on a lost target. */
-const listParts = ({ requestParts = [] }: routing.LossUpdate): readonly string[] => [
-  ...new Set(requestParts.flatMap(({ partIds }) => partIds)),
-];
-
 /** Creates a monitor without recorded crashes. */
 export const createCrashMonitor = (options: CrashMonitorOptions): CrashMonitor => {
   const { clock, log, processCheck, publish } = options;
@@ -106,19 +120,11 @@
     sameLossMs,
     attribution: new routing.LeadingSuspectAttribution(),
   });
+  const lifetimeMs = quarantineLifetimeMs;
+  const parts = createPartMonitor({ clock, log, publish, lifetimeMs, sameLossMs });
   const verdictAtMs = new Map<string, number>();
-  /** Latest completion on this daemon of each request, oldest first. */
-  const completedAtMs = new Map<string, number>();
-
-  const recordCompletion = (fingerprint: string) => {
-    completedAtMs.delete(fingerprint);
-    completedAtMs.set(fingerprint, clock.monotonicMs());
-    const [oldest] = completedAtMs.keys();
-    if (completedAtMs.size > maxCompletions) completedAtMs.delete(oldest!);
-  };
-
-  const hasCompleted = (fingerprint: string): boolean =>
-    clock.monotonicMs() - (completedAtMs.get(fingerprint) ?? -Infinity) < completionValidityMs;
+  const completed = createRecentKeys(clock, completionValidityMs, maxCompletions);
+  const sentAtMs = new WeakMap<MonitoredRun, number>();
 
   /** Makes a quarantine final, so that what is learned later of other requests does not lift it. */
   const reviewSuspects = (fingerprints: readonly string[]) =>
@@ -139,7 +145,7 @@
 
   /** Clears the requests that have recently completed on this daemon of a loss, and returns their fingerprints. */
   const clearCompleted = ({ target, fingerprints }: routing.LossUpdate): readonly string[] => {
-    const known = fingerprints.filter(hasCompleted);
+    const known = fingerprints.filter(completed.has);
     const targetKeys = [routing.targetKeyOf(target)];
     known.forEach((fingerprint) =>
       quarantine.onUpdate({ kind: 'cleared', fingerprint, targetKeys }, clock.monotonicMs()),
@@ -155,7 +161,9 @@
     const fingerprints = update.fingerprints.filter((fingerprint) => !cleared.has(fingerprint));
     const { targetId } = lost;
     const clearedCount = cleared.size;
-    const sharedPartIds = listParts(update).slice(0, maxLoggedParts);
+    const requestParts = parts.onOwnLoss(update);
+    const suspectPartIds = new Set(requestParts.flatMap(({ partIds }) => partIds));
+    const sharedPartIds = [...suspectPartIds].slice(0, maxLoggedParts);
     log.info(
       {
         step: 'crash',
@@ -167,9 +175,12 @@
       },
       'target ended while it ran requests',
     );
-    if (fingerprints.length === 0) return;
-    publish({ ...update, fingerprints });
+    if (fingerprints.length === 0 && requestParts.length === 0) return;
+    const { kind, target, ageMs } = update;
+    const loss = { kind, target, fingerprints, ageMs } as const;
+    publish(requestParts.length === 0 ? loss : { ...loss, requestParts });
     reviewSuspects(fingerprints);
+    parts.review(requestParts);
   };
 
   const checkTarget = async (candidate: Candidate) => {
@@ -178,7 +189,33 @@
     recordLoss(target, target);
   };
 
+  const checkRequest = (fingerprint: string): CrashStatus => {
+    const status = quarantine.check(fingerprint, clock.monotonicMs());
+    if (status.kind !== 'quarantined') return { kind: status.kind };
+    reviewSuspects([fingerprint]);
+    return { ...status, subject: 'request' };
+  };
+
+  const check = (fingerprint: string, sharedPartIds: readonly string[] = []): CrashStatus => {
+    const ofRequest = checkRequest(fingerprint);
+    if (ofRequest.kind === 'quarantined') return ofRequest;
+    const ofParts = parts.check(sharedPartIds);
+    if (ofParts.kind === 'quarantined') return { ...ofParts, subject: 'prompt-part' };
+    return ofParts.kind === 'suspect' ? ofParts : ofRequest;
+  };
+
+  /** Applies an update on a part of prompts; returns whether it was one. */
+  const applyPartUpdate = (update: routing.QuarantineUpdate): boolean => {
+    if (update.kind === 'loss') return false;
+    const partId = partIdOfKey(update.fingerprint);
+    if (partId === undefined) return false;
+    if (update.kind === 'cleared') parts.onCleared(partId, update.targetKeys);
+    else parts.onVerdict(partId, update.ageMs);
+    return true;
+  };
+
   const applyUpdate = (update: routing.QuarantineUpdate) => {
+    if (applyPartUpdate(update)) return;
     const nowMs = clock.monotonicMs();
     quarantine.onUpdate(update, nowMs);
     if (update.kind === 'cleared') verdictAtMs.delete(update.fingerprint);
@@ -190,23 +227,26 @@
         publish({ kind: 'cleared', fingerprint, targetKeys }),
       );
       reviewSuspects(update.fingerprints);
+      parts.onReportedLoss(update);
     }
   };
 
   return {
-    check: (fingerprint) => {
-      const status = quarantine.check(fingerprint, clock.monotonicMs());
-      if (status.kind === 'quarantined') reviewSuspects([fingerprint]);
-      return status;
-    },
-    onDispatch: ({ runId, fingerprint, sharedPartIds, candidate }) => {
-      const target = crashTargetOf(candidate);
-      quarantine.onDispatch(runId, fingerprint, target, clock.monotonicMs(), sharedPartIds);
-    },
-    onEnd: async ({ runId, fingerprint, candidate }, end) => {
+    check,
+    onDispatch: (run) => {
+      const { runId, fingerprint, sharedPartIds, candidate } = run;
       const nowMs = clock.monotonicMs();
-      const cleared = quarantine.onEnd(runId, quarantineOutcomes[end], nowMs);
-      if (end === 'completed') recordCompletion(fingerprint);
+      sentAtMs.set(run, nowMs);
+      quarantine.onDispatch(runId, fingerprint, crashTargetOf(candidate), nowMs, sharedPartIds);
+    },
+    onEnd: async (run, end) => {
+      const { runId, fingerprint, sharedPartIds, candidate } = run;
+      const cleared = quarantine.onEnd(runId, quarantineOutcomes[end], clock.monotonicMs());
+      if (end === 'completed') {
+        completed.add(fingerprint);
+        // The rest of a stream may be too short for its prompt to crash the target.
+        if (!run.isResumed) parts.onCompleted(sharedPartIds, sentAtMs.get(run) ?? -Infinity);
+      }
       if (cleared !== undefined) {
         const wasQuarantined = verdictAtMs.delete(fingerprint);
         const fields = { step: 'quarantine', fingerprint, wasQuarantined };
@@ -216,7 +256,7 @@
       }
       if (end !== 'broken') return;
       const checked = checkTarget(candidate);
-      if (quarantine.check(fingerprint, nowMs).kind !== 'clear') await checked;
+      if (check(fingerprint, sharedPartIds).kind !== 'clear') await checked;
     },
     onMembersEnded: (head, members) =>
       members.forEach(({ targetId, startedAtMs }) => {
@@ -230,7 +270,14 @@
       verdictAtMs.forEach((atMs, fingerprint) => {
         if (nowMs - atMs >= quarantineLifetimeMs) verdictAtMs.delete(fingerprint);
       });
-      return [...verdictAtMs].map(([fingerprint, atMs]) => ({ fingerprint, atMs }));
+      const ofParts = [...parts.verdictsAtMs()].map(([partId, atMs]) => ({
+        fingerprint: partKeyOf(partId),
+        atMs,
+      }));
+      return [
+        ...[...verdictAtMs].map(([fingerprint, atMs]) => ({ fingerprint, atMs })),
+        ...ofParts,
+      ];
     },
   };
 };
--- a/packages/relay/src/crashes/createMonitoredRun.ts
+++ b/packages/relay/src/crashes/createMonitoredRun.ts
@@ -8,7 +8,8 @@
 export const createMonitoredRun = (
   { fingerprint, sharedPartIds }: RequestContext,
   candidate: Candidate,
-): MonitoredRun => ({ runId: randomUUID(), fingerprint, sharedPartIds, candidate });
+  isResumed = false,
+): MonitoredRun => ({ runId: randomUUID(), fingerprint, sharedPartIds, isResumed, candidate });
 
 /** Returns how a failed run ended. */
 export const endOfFailure = ({ ran, wasBroken, wasAnswered }: SendFailure): RunEnd => {
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -1,5 +1,6 @@
 import type * as routing from '@comfreydrum/routing';
 import { chooseTarget, hasFreeSlot, type Candidate } from '../chooseTarget';
+import type { QuarantineSubject } from '../crashes/createCrashMonitor';
 import type { RelayDependencies } from '../RelayDependencies';
 import type { RequestContext } from '../RequestContext';
 
@@ -7,7 +8,11 @@
 
 /** Why no further run of a request may start. */
 export type RunDenial =
-  | { readonly reason: 'quarantined'; readonly retryAfterMs: number }
+  | {
+      readonly reason: 'quarantined';
+      readonly subject: QuarantineSubject;
+      readonly retryAfterMs: number;
+    }
   | { readonly reason: 'no-slot'; readonly candidate: Candidate }
   | {
       readonly reason:
@@ -91,9 +96,9 @@
     const isRetry = tried.size > 0;
     const retryDenial = isRetry ? findRetryDenial() : undefined;
     if (!context.isStillAuthorized()) return deny({ reason: 'unauthorized' });
-    const status = dependencies.crashMonitor.check(context.fingerprint);
+    const status = dependencies.crashMonitor.check(context.fingerprint, context.sharedPartIds);
     if (status.kind === 'quarantined') {
-      return deny({ reason: 'quarantined', retryAfterMs: status.retryAfterMs });
+      return deny({ ...status, reason: 'quarantined' });
     }
     if (deadlineAtMs - nowMs < minSendBudgetMs) return deny({ reason: 'deadline-reached' });
     if (retryDenial !== undefined) return deny(retryDenial);
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -83,7 +83,7 @@
     const failedCount = allowance.failedRunCount();
     if (denial.reason === 'unauthorized') return refuseUnverifiedKey(failedCount);
     if (denial.reason === 'quarantined') {
-      const refusal = createQuarantineRefusal(failedCount, denial.retryAfterMs);
+      const refusal = createQuarantineRefusal(failedCount, denial);
       return { kind: 'refused', refusal };
     }
     if (failedAnswer === undefined) return { kind: 'refused', refusal: createRefusal(denial) };
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -94,7 +94,7 @@
     const failedCount = allowance.failedRunCount();
     if (denial.reason === 'unauthorized') return refuseUnverifiedKey(failedCount);
     if (denial.reason === 'quarantined') {
-      const refusal = createQuarantineRefusal(failedCount, denial.retryAfterMs);
+      const refusal = createQuarantineRefusal(failedCount, denial);
       return { kind: 'refused', refusal };
     }
     if (denial.reason === 'no-slot') {
@@ -152,7 +152,8 @@
       'request sent to group',
     );
     dependencies.metrics.dispatches.add({ service: service.name, reason });
-    const monitored = createMonitoredRun(context, candidate);
+    const isResumed = progress.read().eventCount > 0 || request.lastEventId !== undefined;
+    const monitored = createMonitoredRun(context, candidate, isResumed);
     crashMonitor.onDispatch(monitored);
     const result = await attemptStream(dependencies, context, {
       candidate,
--- /dev/null
+++ b/packages/routing/src/createPartQuarantine.ts
@@ -0,0 +1,154 @@
+import { assessPart } from './assessPart';
+import type { PartLoss, PartQuarantine, PartStatus } from './PartQuarantine';
+import { targetKeyOf, type CrashTarget, type LossUpdate } from './Quarantine';
+
+export interface PartQuarantineOptions {
+  /** How long a part stays quarantined, and how long a loss counts. */
+  readonly lifetimeMs?: number;
+  /** Losses of the same target further apart than this are crashes of successive processes. */
+  readonly sameLossMs?: number;
+}
+
+const defaultLifetimeMs = 600_000;
+const defaultSameLossMs = 500;
+/** Completions on other daemons have been reported this long after the first loss of a part. */
+const settlingMs = 1_000;
+const maxLosses = 512;
+const maxRequestsPerLoss = 256;
+const maxVerdicts = 1_000;
+const clearStatus: PartStatus = { kind: 'clear' };
+
+interface Loss extends PartLoss {
+  readonly targetId: string;
+  readonly targetKey: string;
+  /** Parts that are known not to have caused this loss. */
+  readonly clearedPartIds: Set<string>;
+  readonly holders: Map<string, Set<string>>;
+  atMs: number;
+}
+
+/** Creates a quarantine without losses. */
+export const createPartQuarantine = (options: PartQuarantineOptions = {}): PartQuarantine => {
+  const { lifetimeMs = defaultLifetimeMs, sameLossMs = defaultSameLossMs } = options;
+  const losses = new Set<Loss>();
+  /** The losses of which a part is suspected. */
+  const lossesOfPart = new Map<string, Set<Loss>>();
+  /** Times until which parts are quarantined. */
+  const verdicts = new Map<string, number>();
+
+  const unlink = (partId: string, loss: Loss) => {
+    loss.holders.delete(partId);
+    const suspected = lossesOfPart.get(partId);
+    suspected?.delete(loss);
+    if (suspected?.size === 0) lossesOfPart.delete(partId);
+  };
+
+  const dropLoss = (loss: Loss) => {
+    losses.delete(loss);
+    [...loss.holders.keys()].forEach((partId) => unlink(partId, loss));
+  };
+
+  const dropOutdated = (nowMs: number) => {
+    losses.forEach((loss) => {
+      if (losses.size > maxLosses || nowMs - loss.atMs >= lifetimeMs) dropLoss(loss);
+    });
+  };
+
+  const findLoss = (targetKey: string, atMs: number): Loss | undefined =>
+    [...losses].find(
+      (loss) => loss.targetKey === targetKey && Math.abs(loss.atMs - atMs) <= sameLossMs,
+    );
+
+  const recordLoss = (target: CrashTarget, atMs: number): Loss => {
+    const targetKey = targetKeyOf(target);
+    const known = findLoss(targetKey, atMs);
+    if (known !== undefined) {
+      known.atMs = Math.min(known.atMs, atMs);
+      return known;
+    }
+    const loss: Loss = {
+      targetId: target.targetId,
+      targetKey,
+      atMs,
+      holders: new Map(),
+      clearedPartIds: new Set(),
+    };
+    losses.add(loss);
+    return loss;
+  };
+
+  const suspect = (partId: string, fingerprint: string, loss: Loss) => {
+    if (loss.clearedPartIds.has(partId)) return;
+    loss.holders.set(partId, (loss.holders.get(partId) ?? new Set()).add(fingerprint));
+    lossesOfPart.set(partId, (lossesOfPart.get(partId) ?? new Set()).add(loss));
+  };
+
+  const suspectedLossesOf = (partId: string): readonly Loss[] => [
+    ...(lossesOfPart.get(partId) ?? []),
+  ];
+
+  const firstLossAtMs = (partId: string): number | undefined => {
+    const suspected = suspectedLossesOf(partId);
+    return suspected.length === 0 ? undefined : Math.min(...suspected.map(({ atMs }) => atMs));
+  };
+
+  const clear = (partId: string, isCleared: (loss: Loss) => boolean) =>
+    suspectedLossesOf(partId)
+      .filter(isCleared)
+      .forEach((loss) => {
+        loss.clearedPartIds.add(partId);
+        unlink(partId, loss);
+      });
+
+  const addVerdict = (partId: string, untilMs: number) => {
+    verdicts.delete(partId);
+    verdicts.set(partId, untilMs);
+    const [oldest] = verdicts.keys();
+    if (verdicts.size > maxVerdicts) verdicts.delete(oldest!);
+  };
+
+  return {
+    check: (partId, nowMs) => {
+      const untilMs = verdicts.get(partId);
+      if (untilMs !== undefined && untilMs > nowMs) {
+        return { kind: 'quarantined', retryAfterMs: untilMs - nowMs };
+      }
+      verdicts.delete(partId);
+      if (nowMs - (firstLossAtMs(partId) ?? nowMs) >= lifetimeMs) dropOutdated(nowMs);
+      const firstAtMs = firstLossAtMs(partId);
+      if (firstAtMs === undefined) return clearStatus;
+      const isSettled = nowMs - firstAtMs >= settlingMs;
+      if (!isSettled || !assessPart(partId, suspectedLossesOf)) return { kind: 'suspect' };
+      addVerdict(partId, nowMs + lifetimeMs);
+      return { kind: 'quarantined', retryAfterMs: lifetimeMs };
+    },
+    onLoss: ({ target, requestParts = [], ageMs }: LossUpdate, nowMs) => {
+      if (requestParts.length === 0) return;
+      const loss = recordLoss(target, nowMs - ageMs);
+      requestParts
+        .slice(0, maxRequestsPerLoss)
+        .forEach(({ fingerprint, partIds }) =>
+          partIds.forEach((partId) => suspect(partId, fingerprint, loss)),
+        );
+      dropOutdated(nowMs);
+    },
+    onCompleted: (partId, sentAtMs) => {
+      const firstAtMs = firstLossAtMs(partId);
+      // A run that was sent before a part began to crash targets may complete after its quarantine.
+      if (verdicts.has(partId) && !(firstAtMs !== undefined && sentAtMs > firstAtMs)) {
+        return undefined;
+      }
+      const targetKeys = [...new Set(suspectedLossesOf(partId).map(({ targetKey }) => targetKey))];
+      if (!verdicts.delete(partId) && targetKeys.length === 0) return undefined;
+      clear(partId, () => true);
+      return targetKeys;
+    },
+    onCleared: (partId, targetKeys) => {
+      const keys = new Set(targetKeys);
+      verdicts.delete(partId);
+      clear(partId, ({ targetKey }) => keys.has(targetKey));
+    },
+    onVerdict: (partId, ageMs, nowMs) => addVerdict(partId, nowMs - ageMs + lifetimeMs),
+    lostTargetIdsOf: (partId) => suspectedLossesOf(partId).map(({ targetId }) => targetId),
+  };
+};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -35,6 +35,8 @@
   type PrefixHasherOptions,
 } from './createPrefixHasher';
 export { createPrefixIndex, type PrefixIndex } from './createPrefixIndex';
+export { createPartQuarantine, type PartQuarantineOptions } from './createPartQuarantine';
+export type { PartQuarantine, PartStatus } from './PartQuarantine';
 export { createQuarantine, type QuarantineOptions } from './createQuarantine';
 export { createRandom, type Random } from './createRandom';
 export {
@@ -63,6 +65,7 @@
   type ClearedUpdate,
   type CrashTarget,
   type LossUpdate,
+  type RequestParts,
   type Quarantine,
   type QuarantineUpdate,
   type QuarantineStatus,
--- a/packages/routing/src/quarantineUpdateSchema.ts
+++ b/packages/routing/src/quarantineUpdateSchema.ts
@@ -8,11 +8,17 @@
   failureDomain: zod.string(),
 });
 
+const requestPartsSchema = zod.object({
+  fingerprint: zod.string(),
+  partIds: zod.array(zod.string()).readonly(),
+});
+
 /** The schema of a loss that a daemon reports to others. */
 export const lossUpdateSchema = zod.object({
   kind: zod.literal('loss'),
   target: crashTargetSchema,
   fingerprints: zod.array(zod.string()).readonly(),
+  requestParts: zod.array(requestPartsSchema).readonly().optional(),
   ageMs: zod.number(),
 });
 
