Relay: don't suspect requests whose connection a lost target refused

A request could be quarantined after it had reached two workers (seen in the test of crashing requests as 'too few to be recognised'). Traced by the logs of the daemons: a run counted as running on its target before it had a connection. When another request ended that target meanwhile, the loss was put down to both, although the connection of the second was refused a millisecond later.

A run is now registered in the tick in which it is written to a connection.

--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -27,6 +27,7 @@
   context: RequestContext,
   candidate: Candidate,
   stopSignal: AbortSignal,
+  onWrite: () => void,
 ): Promise<ExchangeResult> => {
   const { targetTracker, clock } = dependencies;
   const sentAtMs = clock.monotonicMs();
@@ -39,6 +40,7 @@
       candidate,
       resumeAfterEventId: undefined,
       signal,
+      onWrite,
     });
     if (sent.kind === 'failed') {
       if (!isUnwanted()) targetTracker.onFailure(candidate.key, clock.monotonicMs());
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -35,6 +35,8 @@
   readonly candidate: Candidate;
   readonly progress: StreamProgress;
   readonly control: RunControl;
+  /** Called in the tick in which the request is written to a connection of the target. */
+  readonly onWrite: () => void;
   /** Called whenever the run is found silent; the run goes on. */
   readonly onSilent: (silence: Silence) => void;
 }
@@ -213,6 +215,7 @@
       candidate,
       resumeAfterEventId: eventCount > 0 ? lastEventId : undefined,
       signal,
+      onWrite: attempt.onWrite,
     });
     if (sent.kind === 'failed') return fail(sent.failure);
     const { answer } = sent.matched;
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -59,6 +59,7 @@
 /** Finds the requests and the parts of prompts that crash the targets on which they run, and quarantines them. */
 export interface CrashMonitor {
   readonly check: (fingerprint: string, sharedPartIds?: readonly string[]) => CrashStatus;
+  /** Records that a run is written to a connection of its target; only then may it cause the loss of the target. */
   readonly onDispatch: (run: MonitoredRun) => void;
   /**
    * Records the end of a run. After a broken run of a request that was on a lost target before, or has a part that
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -30,6 +30,8 @@
   readonly candidate: Candidate;
   readonly resumeAfterEventId: number | undefined;
   readonly signal: AbortSignal;
+  /** Called in the tick in which the request is written to a connection of the target. */
+  readonly onWrite: () => void;
 }
 
 export type SendResult =
@@ -74,7 +76,7 @@
 export const sendToTarget = async (
   dependencies: RelayDependencies,
   context: RequestContext,
-  { candidate, resumeAfterEventId, signal }: SendOptions,
+  { candidate, resumeAfterEventId, signal, onWrite }: SendOptions,
 ): Promise<SendResult> => {
   const { request } = context;
   const remainingMs = Math.floor(context.deadlineAtMs - dependencies.clock.monotonicMs());
@@ -91,7 +93,11 @@
     }),
     body: context.body,
     signal,
-    mayWrite: context.isStillAuthorized,
+    mayWrite: () => {
+      const isAuthorized = context.isStillAuthorized();
+      if (isAuthorized) onWrite();
+      return isAuthorized;
+    },
   });
   return toSendResult(dependencies, context, sent, signal);
 };
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -105,7 +105,6 @@
     );
     dependencies.metrics.dispatches.add({ service: service.name, reason });
     const monitored = createMonitoredRun(context, candidate);
-    crashMonitor.onDispatch(monitored);
     const stopWatching = dependencies.stallMonitor.add((nowMs) => {
       const silentMs = nowMs - sentAtMs;
       if (!isRepeatable(route) || silentMs < hedgeDelayMs) return;
@@ -113,7 +112,9 @@
         targetTracker.onFailure(candidate.key, nowMs);
       }
     });
-    const result = await attemptExchange(dependencies, context, candidate, control.signal);
+    const result = await attemptExchange(dependencies, context, candidate, control.signal, () =>
+      crashMonitor.onDispatch(monitored),
+    );
     stopWatching();
     const checked = crashMonitor.onEnd(monitored, endOfExchange(result));
     if (result.kind === 'answered' && result.answer.statusCode < firstFailureStatus) {
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -154,11 +154,11 @@
     dependencies.metrics.dispatches.add({ service: service.name, reason });
     const isResumed = progress.read().eventCount > 0 || request.lastEventId !== undefined;
     const monitored = createMonitoredRun(context, candidate, isResumed);
-    crashMonitor.onDispatch(monitored);
     const result = await attemptStream(dependencies, context, {
       candidate,
       progress,
       control,
+      onWrite: () => crashMonitor.onDispatch(monitored),
       onSilent: (silence) => handleSilence(candidate, control, sentAtMs, silence),
     });
     const checked = crashMonitor.onEnd(monitored, endOfStream(result));
