--- a/packages/relay/src/crashes/createCrashMonitor.test.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.test.ts
@@ -18,6 +18,7 @@
   runId: `${fingerprint}/${targetId}`,
   fingerprint,
   sharedPartIds,
+  hasPrompt: true,
   isResumed: false,
   candidate: {
     key: `${targetId}@1`,
@@ -211,6 +212,11 @@
   await monitor.onEnd(run, 'completed');
 };
 
+/** Completes two requests that share no part with others. */
+const completeOthers = async (monitor: TestMonitor) => {
+  for (const name of ['other-1', 'other-2']) await completeRun(monitor, createRun(name, 'sound'));
+};
+
 const breakRuns = async (monitor: TestMonitor, runs: readonly MonitoredRun[]) => {
   runs.forEach(monitor.onDispatch);
   await Promise.all(runs.map((run) => monitor.onEnd(run, 'broken')));
@@ -255,6 +261,7 @@
   while (monitor.check('another', ['bad']).kind !== 'quarantined') {
     crashCount += 1;
     await breakRuns(monitor, [createRun(`f${crashCount}`, `t${crashCount}`, ['bad'])]);
+    await completeOthers(monitor);
     clock.advance(250);
   }
   // Four a second, with the fifth after one: at most three more seconds.
@@ -279,6 +286,7 @@
     await breakRuns(monitor, [createRun(`f${name}`, `t${name}`, ['bad'])]);
   }
   await completeRun(monitor, { ...createRun('f3', 'sound', ['bad']), isResumed: true });
+  await completeOthers(monitor);
   clock.advance(settlingMs);
   assert.is(monitor.check('another', ['bad']).kind, 'quarantined');
 });
@@ -304,11 +312,12 @@
   await ended;
 });
 
-test('counts the losses that other daemons report with the parts of requests', () => {
+test('counts the losses that other daemons report with the parts of requests', async () => {
   const { monitor, clock } = createMonitor();
   ['1', '2', '3'].forEach((name) =>
     monitor.applyUpdates([lossOf(`t${name}`, [{ fingerprint: `f${name}`, partIds: ['bad'] }])]),
   );
+  await completeOthers(monitor);
   clock.advance(settlingMs);
   assert.is(monitor.check('another', ['bad']).kind, 'quarantined');
 });
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -14,6 +14,8 @@
   readonly fingerprint: string;
   /** Ids of the parts of the prompt that other requests may share. */
   readonly sharedPartIds: readonly string[];
+  /** Whether the request has a prompt of which the parts are known. */
+  readonly hasPrompt: boolean;
   /** Whether the run resumes a stream, so that it runs only the rest of the request. */
   readonly isResumed: boolean;
   readonly candidate: Candidate;
@@ -246,7 +248,9 @@
       if (end === 'completed') {
         completed.add(fingerprint);
         // The rest of a stream may be too short for its prompt to crash the target.
-        if (!run.isResumed) parts.onCompleted(sharedPartIds, sentAtMs.get(run) ?? -Infinity);
+        if (run.hasPrompt && !run.isResumed) {
+          parts.onCompleted(sharedPartIds, sentAtMs.get(run) ?? -Infinity);
+        }
       }
       if (cleared !== undefined) {
         const wasQuarantined = verdictAtMs.delete(fingerprint);
--- a/packages/relay/src/crashes/createMonitoredRun.ts
+++ b/packages/relay/src/crashes/createMonitoredRun.ts
@@ -6,10 +6,17 @@
 
 /** Creates a run of a request on a target, with an id of its own. */
 export const createMonitoredRun = (
-  { fingerprint, sharedPartIds }: RequestContext,
+  { request, fingerprint, sharedPartIds }: RequestContext,
   candidate: Candidate,
   isResumed = false,
-): MonitoredRun => ({ runId: randomUUID(), fingerprint, sharedPartIds, isResumed, candidate });
+): MonitoredRun => ({
+  runId: randomUUID(),
+  fingerprint,
+  sharedPartIds,
+  hasPrompt: request.promptPartIds.length > 0,
+  isResumed,
+  candidate,
+});
 
 /** Returns how a failed run ended. */
 export const endOfFailure = ({ ran, wasBroken, wasAnswered }: SendFailure): RunEnd => {
--- a/packages/relay/src/crashes/createPartMonitor.ts
+++ b/packages/relay/src/crashes/createPartMonitor.ts
@@ -14,7 +14,7 @@
   readonly onOwnLoss: (update: routing.LossUpdate) => RequestParts;
   /** Records a loss that another daemon has reported, and reports the parts that have completed here. */
   readonly onReportedLoss: (update: routing.LossUpdate) => void;
-  /** Records that a request with these parts has completed. */
+  /** Records that a request has completed whose prompt has these parts, which may be none that others share. */
   readonly onCompleted: (partIds: readonly string[], sentAtMs: number) => void;
   readonly onCleared: (partId: string, targetKeys: readonly string[]) => void;
   readonly onVerdict: (partId: string, ageMs: number) => void;
@@ -111,11 +111,13 @@
       });
       review(requestParts);
     },
-    onCompleted: (partIds, sentAtMs) =>
+    onCompleted: (partIds, sentAtMs) => {
+      quarantine.onRequestCompleted(partIds, clock.monotonicMs());
       partIds.forEach((partId) => {
         completed.add(partId);
         clear(partId, sentAtMs);
-      }),
+      });
+    },
     onCleared: (partId, targetKeys) => {
       verdictAtMs.delete(partId);
       quarantine.onCleared(partId, targetKeys);
--- a/packages/routing/src/PartQuarantine.ts
+++ b/packages/routing/src/PartQuarantine.ts
@@ -23,8 +23,10 @@
   readonly check: (partId: string, nowMs: number) => PartStatus;
   /** Records the loss of a target that was reported by this daemon or another one. */
   readonly onLoss: (update: LossUpdate, nowMs: number) => void;
+  /** Records that a request completed whose prompt has these parts, which may be none that others share. */
+  readonly onRequestCompleted: (partIds: readonly string[], nowMs: number) => void;
   /**
-   * Records that a request with the part completed. Returns the keys of the lost targets of which the part is no
+   * Clears a part with which a request completed. Returns the keys of the lost targets of which the part is no
    * longer suspected, to be sent to the other daemons, or undefined if there is nothing to send.
    */
   readonly onCompleted: (partId: string, sentAtMs: number) => readonly string[] | undefined;
--- a/packages/routing/src/createPartQuarantine.test.ts
+++ b/packages/routing/src/createPartQuarantine.test.ts
@@ -27,13 +27,21 @@
   ageMs: 0,
 });
 
+/** Completes two requests that share no part with others. */
+const completeOthers = (quarantine: routing.PartQuarantine, nowMs: number) =>
+  [1, 2].forEach(() => quarantine.onRequestCompleted([], nowMs));
+
 const createQuarantine = () => {
   const quarantine = routing.createPartQuarantine();
   return {
     ...quarantine,
     /** Loses a new target that was running the given requests. */
     lose: (...requests: readonly routing.RequestParts[]) => quarantine.onLoss(lossOf(requests), 0),
-    kindOf: (partId: string) => quarantine.check(partId, settledMs).kind,
+    /** Returns the status of a part once other requests have completed. */
+    kindOf: (partId: string) => {
+      completeOthers(quarantine, settledMs);
+      return quarantine.check(partId, settledMs).kind;
+    },
   };
 };
 
@@ -56,12 +64,24 @@
 });
 
 test('waits for completions on other daemons before it quarantines', () => {
-  const { lose, check } = createQuarantine();
+  const { lose, check, onRequestCompleted } = createQuarantine();
   for (let count = 0; count < 6; count += 1) lose(request('bad'));
+  [1, 2].forEach(() => onRequestCompleted([], 100));
   assert.is(check('bad', 500).kind, 'suspect');
   assert.is(check('bad', settledMs).kind, 'quarantined');
 });
 
+test('does not quarantine a part while no request without it completes', () => {
+  const { lose, check, onRequestCompleted } = createQuarantine();
+  onRequestCompleted([], -1);
+  for (let count = 0; count < 6; count += 1) lose(request('system'));
+  onRequestCompleted(['system'], 100);
+  onRequestCompleted([], 200);
+  assert.is(check('system', settledMs).kind, 'suspect');
+  onRequestCompleted([], 300);
+  assert.is(check('system', settledMs).kind, 'quarantined');
+});
+
 test('does not tell two parts of the same lost requests apart', () => {
   const { lose, kindOf, onCompleted } = createQuarantine();
   for (let count = 0; count < 10; count += 1) lose(request('system', 'bad'));
@@ -147,6 +167,7 @@
 test('lifts a verdict only for a run that was sent after the first loss', () => {
   const quarantine = routing.createPartQuarantine();
   for (let count = 0; count < 3; count += 1) quarantine.onLoss(lossOf([request('bad')]), 1_000);
+  completeOthers(quarantine, 2_000);
   assert.is(quarantine.check('bad', 3_000).kind, 'quarantined');
   assert.is(quarantine.onCompleted('bad', 900), undefined);
   assert.is(quarantine.check('bad', 3_000).kind, 'quarantined');
@@ -167,6 +188,7 @@
 test('forgets losses after their lifetime', () => {
   const quarantine = routing.createPartQuarantine({ lifetimeMs: 10_000 });
   for (let count = 0; count < 5; count += 1) quarantine.onLoss(lossOf([request('bad')]), 0);
+  completeOthers(quarantine, settledMs);
   assert.is(quarantine.check('bad', settledMs).kind, 'quarantined');
   assert.is(quarantine.check('bad', 10_000 + settledMs).kind, 'clear');
 });
--- a/packages/routing/src/createPartQuarantine.ts
+++ b/packages/routing/src/createPartQuarantine.ts
@@ -13,11 +13,22 @@
 const defaultSameLossMs = 500;
 /** Completions on other daemons have been reported this long after the first loss of a part. */
 const settlingMs = 1_000;
+/**
+ * While nothing completes, the parts that all requests share look like crashing ones. So a part is quarantined only
+ * when this many requests without it have completed since its first loss.
+ */
+const minOtherCompletions = 2;
+const maxCompletions = 64;
 const maxLosses = 512;
 const maxRequestsPerLoss = 256;
 const maxVerdicts = 1_000;
 const clearStatus: PartStatus = { kind: 'clear' };
 
+interface Completion {
+  readonly partIds: readonly string[];
+  readonly atMs: number;
+}
+
 interface Loss extends PartLoss {
   readonly targetId: string;
   readonly targetKey: string;
@@ -33,6 +44,8 @@
   const losses = new Set<Loss>();
   /** The losses of which a part is suspected. */
   const lossesOfPart = new Map<string, Set<Loss>>();
+  /** The latest requests that completed, oldest first. */
+  const completions: Completion[] = [];
   /** Times until which parts are quarantined. */
   const verdicts = new Map<string, number>();
 
@@ -92,6 +105,10 @@
     return suspected.length === 0 ? undefined : Math.min(...suspected.map(({ atMs }) => atMs));
   };
 
+  const haveOthersCompleted = (partId: string, sinceMs: number): boolean =>
+    completions.filter(({ partIds, atMs }) => atMs >= sinceMs && !partIds.includes(partId))
+      .length >= minOtherCompletions;
+
   const clear = (partId: string, isCleared: (loss: Loss) => boolean) =>
     suspectedLossesOf(partId)
       .filter(isCleared)
@@ -117,7 +134,7 @@
       if (nowMs - (firstLossAtMs(partId) ?? nowMs) >= lifetimeMs) dropOutdated(nowMs);
       const firstAtMs = firstLossAtMs(partId);
       if (firstAtMs === undefined) return clearStatus;
-      const isSettled = nowMs - firstAtMs >= settlingMs;
+      const isSettled = nowMs - firstAtMs >= settlingMs && haveOthersCompleted(partId, firstAtMs);
       if (!isSettled || !assessPart(partId, suspectedLossesOf)) return { kind: 'suspect' };
       addVerdict(partId, nowMs + lifetimeMs);
       return { kind: 'quarantined', retryAfterMs: lifetimeMs };
@@ -132,6 +149,10 @@
         );
       dropOutdated(nowMs);
     },
+    onRequestCompleted: (partIds, nowMs) => {
+      completions.push({ partIds, atMs: nowMs });
+      if (completions.length > maxCompletions) completions.shift();
+    },
     onCompleted: (partId, sentAtMs) => {
       const firstAtMs = firstLossAtMs(partId);
       // A run that was sent before a part began to crash targets may complete after its quarantine.
