--- a/packages/relay/src/serveStream.test.ts
+++ b/packages/relay/src/serveStream.test.ts
@@ -257,6 +257,20 @@
   });
 });
 
+test('responds with 504 when the timer of the time limit fires before the clock reaches it', async () => {
+  const silent: http.RequestListener = (request) => {
+    request.resume();
+  };
+  const clock = { wallMs: Date.now, monotonicMs: () => performance.now() * 0.98 };
+  const routes = [{ isResumable: false }, { maxTargets: 1 }, { kind: 'non-idempotent' }] as const;
+  for (const route of routes) {
+    const targets = [{ id: 't1', listener: silent }];
+    await withRelay({ targets, clock, route: { ...route, timeoutMs: 300 } }, async ({ url }) =>
+      assert.is((await call(url)).status, 504, JSON.stringify(route)),
+    );
+  }
+});
+
 test('forwards the remaining time and the customer name, but not the key', async () => {
   const target = createRecordingTarget(createStreamTarget(1, 's1'));
   await withRelay({ targets: [{ id: 't1', listener: target.listener }] }, async ({ url }) => {
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -25,6 +25,7 @@
   /** Retries that the fleet allows at each service beyond those that first attempts earn. */
   readonly fleetRetryReserve?: number;
   readonly otherLoads?: () => Readonly<Record<string, number>>;
+  readonly clock?: clocks.Clock;
 }
 
 export interface TestRelay {
@@ -204,7 +205,7 @@
     localAddress: undefined,
     noticeMs: 20,
     drainTimeoutMs: 1_000,
-    clock: clocks.createSystemClock(),
+    clock: options.clock ?? clocks.createSystemClock(),
     log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
     metrics: telemetry.createMetrics(),
     plan: {
