--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,6 +1,12 @@
 export { waitUntil } from './waitUntil';
 export { createRandom, type Random } from './createRandom';
 export type { Standin, StandinAddress } from './http/createHttpStandin';
+export {
+  createEndlessTarget,
+  type EndlessAnswer,
+  type EndlessCounts,
+  type EndlessTarget,
+} from './http/createEndlessTarget';
 export type { EngineOptions } from './engine/EngineOptions';
 export { createEngineStandin, type EngineStandin } from './engine/createEngineStandin';
 export { formatChatPrompt, countPromptTokens, expectedText } from './engine/generateText';
