Target client: close connections that deliver bytes without end outside of bodies

Callers of a target that sent a status line, spaces in a header line, empty lines, informational responses, a chunk length, a chunk extension or trailers without end waited until their deadline and got 504; the daemon read on all the while. undici limits only the fields of one head.

An agent now counts what each connection delivers besides parts of bodies and closes it beyond 64 KiB, which fails the request as one that may have run.

--- /dev/null
+++ b/packages/target-client/src/createBoundedAgent.ts
@@ -0,0 +1,67 @@
+import type { Socket } from 'node:net';
+import * as undici from 'undici';
+import { observeProgress } from './observeProgress';
+
+/**
+ * Maximum number of bytes that a connection may deliver without a response head or a part of a body. Besides the head,
+ * for which undici has a lower limit of its own, these are informational responses and the framing of chunks.
+ */
+const maxFramingBytes = 65_536;
+
+/** Opens connections for a client that has one connection at a time, and closes those without progress. */
+const createProgressMonitor = (connect: undici.buildConnector.connector) => {
+  let socket: Socket | undefined;
+  /** Value of `bytesRead` of the socket at the last progress. */
+  let progressBytes = 0;
+
+  const checkProgress = (checked: Socket) => {
+    const consumedBytes = checked.bytesRead - checked.readableLength;
+    if (checked !== socket || consumedBytes - progressBytes <= maxFramingBytes) return;
+    const address = `${checked.remoteAddress}:${checked.remotePort}`;
+    checked.destroy(
+      new Error(`${address} sent over ${maxFramingBytes} bytes that belong to no response body`),
+    );
+  };
+
+  const monitoredConnect: undici.buildConnector.connector = (options, callback) =>
+    connect(options, (...result) => {
+      const [, opened] = result;
+      socket = opened ?? undefined;
+      progressBytes = 0;
+      callback(...result);
+      // Runs after the listener of undici, which has parsed the bytes by then.
+      opened?.on('readable', () => checkProgress(opened));
+    });
+
+  return {
+    connect: monitoredConnect,
+    onProgress: () => {
+      progressBytes = socket?.bytesRead ?? 0;
+    },
+  };
+};
+
+const createBoundedClient = (origin: URL, options: undici.Client.Options): undici.Client => {
+  const { connect } = options;
+  const connector = typeof connect === 'function' ? connect : undici.buildConnector({ ...connect });
+  const monitor = createProgressMonitor(connector);
+  const client = new undici.Client(origin, { ...options, connect: monitor.connect, pipelining: 1 });
+  const dispatch = client.dispatch.bind(client);
+  return Object.assign(client, {
+    dispatch: (
+      request: undici.Dispatcher.DispatchOptions,
+      handler: undici.Dispatcher.DispatchHandler,
+    ) => dispatch(request, observeProgress(handler, monitor.onProgress)),
+  });
+};
+
+/**
+ * Creates an agent that closes connections which deliver bytes without end that are no response. Bodies are limited by
+ * the option `maxResponseSize` or by their readers.
+ */
+export const createBoundedAgent = (options: undici.Agent.Options): undici.Agent =>
+  new undici.Agent({
+    ...options,
+    factory: (origin, agentOptions: undici.Agent.Options) =>
+      new undici.Pool(origin, { ...agentOptions, factory: createBoundedClient }),
+  });
--- a/packages/target-client/src/createTargetClient.ts
+++ b/packages/target-client/src/createTargetClient.ts
@@ -1,5 +1,6 @@
 import * as errors from '@comfreydrum/errors';
 import * as undici from 'undici';
+import { createBoundedAgent } from './createBoundedAgent';
 import { dispatchRequest, type TargetResponse } from './dispatchRequest';
 import type { ExecutionStatus } from './ExecutionStatus';
 
@@ -64,7 +65,7 @@
   localAddress: string | undefined,
   keepAliveMs = defaultKeepAliveMs,
 ): TargetClient => {
-  const agent = new undici.Agent({
+  const agent = createBoundedAgent({
     connect: createConnector(localAddress),
     // Admission control limits the requests of a target; a limit here would delay admitted ones.
     connections: null,
