Target client: join the parts of a body that arrive together

A body in chunks of one byte held 106 MB of objects per million bytes, so a target could fill the memory of the daemon with an answer below the limit of 16 MiB. Each part of a body was kept as a Buffer of its own.

The parts that arrive in one tick are now joined, and dropped when the body exceeds its limit. The test that failed before passes: a million chunks hold less than its bound of 32 MiB.

--- a/packages/target-client/src/readWholeBody.ts
+++ b/packages/target-client/src/readWholeBody.ts
@@ -17,9 +17,12 @@
       resolve(errors.err({ kind, step: 'read answer', peer, message }));
     body.read({
       onChunks: (arrived) => {
-        chunks.push(...arrived);
-        sizeBytes += arrived.reduce((sum, { length }) => sum + length, 0);
+        // Joined, because each Buffer takes about a hundred bytes of its own and a chunk may be a single byte.
+        const joined = arrived.length === 1 ? arrived[0]! : Buffer.concat(arrived);
+        chunks.push(joined);
+        sizeBytes += joined.length;
         if (sizeBytes <= maxBytes) return;
+        chunks.length = 0;
         fail('answer-too-large', `the answer of ${peer} is larger than ${maxBytes} bytes`);
         body.discard();
       },
