Relay: end a run of a stream whose event does not end

Callers of a stream whose target sent an event without end, or comments without end between its events, waited until their deadline: 504 after 3 s, or a cut-off stream. The splitter buffered all of it and copied the buffer for each chunk.

A run now ends with a fault after 64 KiB without an event that has an id or data, and at an event larger than that, so that the stream resumes at another target or ends at once. The splitter keeps its buffer with spare capacity and searches only new bytes.

--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -45,6 +45,9 @@
 const isNext = ({ id }: StreamEvent, lastEventId: number | undefined): boolean =>
   id === undefined || lastEventId === undefined || id === lastEventId + 1;
 
+/** An event holds a few tokens; comments between events are short and rare. */
+const maxEventBytes = 65_536;
+
 /** Forwards the complete events of a response; resolves with a description of the fault that ended it, if any. */
 const relayEvents = (
   dependencies: RelayDependencies,
@@ -89,12 +92,17 @@
         if (!isNext(event, lastEventId)) {
           return `event ${event.id} came after event ${lastEventId}`;
         }
+        if (event.bytes.length > maxEventBytes) {
+          return `event ${event.id ?? 'without id'} is larger than ${maxEventBytes} bytes`;
+        }
         control.stopOtherRuns();
         writeHead();
         if (!response.write(event.bytes)) answer.body.pause();
         recordEvent(event.id, nowMs);
       }
-      return undefined;
+      return splitter.bytesWithoutEvent() > maxEventBytes
+        ? `over ${maxEventBytes} bytes came without an event`
+        : undefined;
     };
 
     response.on('drain', resume);
--- a/packages/relay/src/createEventSplitter.test.ts
+++ b/packages/relay/src/createEventSplitter.test.ts
@@ -40,6 +40,41 @@
   assert.is(splitter.feed(Buffer.from('\n')).length, 1);
 });
 
+test('leaves the events that it returned unchanged when more bytes arrive', () => {
+  const splitter = createEventSplitter();
+  splitter.feed(Buffer.from('id: 1\n'));
+  const [first] = splitter.feed(Buffer.from('data: a\n\nid: 2\n'));
+  splitter.feed(Buffer.from('data: b'));
+  splitter.feed(Buffer.from('\n'));
+  const [second] = splitter.feed(Buffer.from('\n'));
+  assert.equal(
+    [first, second].map((event) => event?.bytes.toString()),
+    ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n'],
+  );
+});
+
+test('counts the bytes of comments and of an event without end since the last event', () => {
+  const splitter = createEventSplitter();
+  splitter.feed(Buffer.from(': comment\n\n'));
+  assert.is(splitter.bytesWithoutEvent(), 11);
+  splitter.feed(Buffer.from('data: a'));
+  assert.is(splitter.bytesWithoutEvent(), 18);
+  splitter.feed(Buffer.from('\n\n'));
+  assert.is(splitter.bytesWithoutEvent(), 0);
+  splitter.feed(Buffer.from('\n\nevent: a\n\n'));
+  assert.is(splitter.bytesWithoutEvent(), 12);
+});
+
+test('buffers an event without end in linear time', () => {
+  const splitter = createEventSplitter();
+  const feedCount = 300_000;
+  const maxMs = 2_000;
+  const startedAtMs = performance.now();
+  for (let count = 0; count < feedCount; count += 1) splitter.feed(Buffer.from('a'));
+  assert.is(splitter.bufferedBytes(), feedCount);
+  assert.ok(performance.now() - startedAtMs < maxMs);
+});
+
 test('finds no id in an event without one', () => {
   const [event] = createEventSplitter().feed(Buffer.from('data: id: 4\n\n'));
   assert.is(event?.id, undefined);
--- a/packages/relay/src/createEventSplitter.ts
+++ b/packages/relay/src/createEventSplitter.ts
@@ -10,11 +10,16 @@
   readonly feed: (bytes: Buffer) => readonly StreamEvent[];
   /** Returns the number of buffered bytes of an incomplete event. */
   readonly bufferedBytes: () => number;
+  /** Returns the number of bytes since the last event that had an id or data; comments have neither. */
+  readonly bytesWithoutEvent: () => number;
 }
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+/** Length of the longest end of an event, `\n\r\n`. */
+const maxEndBytes = 3;
 const idField = /^id:[ ]?(\d+)[ ]*\r?$/m;
+const contentField = /^(?:id|data)\b/m;
 
 /** Returns the index after the empty line that ends the first event, or -1. */
 const findEventEnd = (bytes: Buffer, from: number): number => {
@@ -27,29 +32,53 @@
   return -1;
 };
 
-const readId = (bytes: Buffer): number | undefined => {
-  const match = idField.exec(bytes.toString('latin1'));
+const readId = (text: string): number | undefined => {
+  const match = idField.exec(text);
   return match ? Number(match[1]) : undefined;
 };
 
 export const createEventSplitter = (): EventSplitter => {
-  let buffered: Buffer = Buffer.alloc(0);
+  /** Begins with the bytes of the incomplete event; its capacity grows by doubling. */
+  let storage: Buffer = Buffer.alloc(0);
+  let storedBytes = 0;
+  let bytesWithoutEvent = 0;
+
+  const append = (bytes: Buffer): Buffer => {
+    if (storedBytes === 0) {
+      storage = bytes;
+      return bytes;
+    }
+    const totalBytes = storedBytes + bytes.length;
+    if (totalBytes > storage.length) {
+      const larger = Buffer.allocUnsafe(2 * totalBytes);
+      storage.copy(larger, 0, 0, storedBytes);
+      storage = larger;
+    }
+    bytes.copy(storage, storedBytes);
+    return storage.subarray(0, totalBytes);
+  };
 
   return {
     feed: (bytes) => {
-      buffered = buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes]);
+      const searchFrom = Math.max(0, storedBytes - maxEndBytes + 1);
+      const available = append(bytes);
       const events: StreamEvent[] = [];
       let start = 0;
-      let end = findEventEnd(buffered, start);
+      let end = findEventEnd(available, searchFrom);
       while (end !== -1) {
-        const event = buffered.subarray(start, end);
-        events.push({ bytes: event, id: readId(event) });
+        const event = available.subarray(start, end);
+        const text = event.toString('latin1');
+        events.push({ bytes: event, id: readId(text) });
+        bytesWithoutEvent = contentField.test(text) ? 0 : bytesWithoutEvent + event.length;
         start = end;
-        end = findEventEnd(buffered, start);
+        end = findEventEnd(available, start);
       }
-      buffered = buffered.subarray(start);
+      storedBytes = available.length - start;
+      // The events refer to the old storage; without spare capacity it is not written to again.
+      if (start > 0) storage = available.subarray(start);
       return events;
     },
-    bufferedBytes: () => buffered.length,
+    bufferedBytes: () => storedBytes,
+    bytesWithoutEvent: () => bytesWithoutEvent + storedBytes,
   };
 };
