Relay: close the connection of an answer whose length is beyond the limit at once

An answer with a content-length above 16 MiB was read up to that limit before the request failed; in the test the target sent for 1.2 s. The length is now checked before the body is read, except for HEAD requests, whose answers have no body. The test failed before; one for HEAD requests is new.

--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -1,3 +1,4 @@
+import * as errors from '@comfreydrum/errors';
 import * as targetClient from '@comfreydrum/target-client';
 import { forwardedHeadersOf } from './forwardedHeadersOf';
 import type { Candidate } from './chooseTarget';
@@ -21,6 +22,20 @@
 
 const maxResponseBytes = 16_777_216;
 
+const readAnswer = async (
+  { body, headers }: targetClient.TargetResponse,
+  method: string,
+  peer: string,
+): Promise<errors.Result<Buffer, targetClient.BodyFailure>> => {
+  const announcedBytes = method === 'HEAD' ? 0 : Number(headers['content-length'] ?? 0);
+  if (announcedBytes <= maxResponseBytes) {
+    return targetClient.readWholeBody(body, peer, maxResponseBytes);
+  }
+  body.discard();
+  const message = `the answer of ${peer} has ${announcedBytes} bytes, more than ${maxResponseBytes}`;
+  return errors.err({ kind: 'answer-too-large', step: 'read answer', peer, message });
+};
+
 /** Sends a request to a target and reads the complete response, until the deadline of the request. */
 export const attemptExchange = async (
   dependencies: RelayDependencies,
@@ -47,7 +62,7 @@
       return sent;
     }
     const { answer } = sent.matched;
-    const read = await targetClient.readWholeBody(answer.body, candidate.address, maxResponseBytes);
+    const read = await readAnswer(answer, context.request.method, candidate.address);
     const nowMs = clock.monotonicMs();
     if (!isUnwanted()) targetTracker.onProgress(candidate.key, nowMs);
     if (!read.ok) {
--- a/packages/relay/src/endlessAnswers.test.ts
+++ b/packages/relay/src/endlessAnswers.test.ts
@@ -168,6 +168,16 @@
     check: isFailure,
   }));
 
+test('forwards a sound answer to a HEAD request, whatever length it announces', async () => {
+  const listener: http.RequestListener = (request, response) => {
+    const length = { 'content-length': maxAnswerBytes + 1 };
+    response.writeHead(200, { 'x-id': String(request.headers['x-id']), ...length }).end();
+  };
+  await withRelay({ targets: [{ id: 't1', listener }], route: filing }, async ({ url }) => {
+    assert.is((await call(url, { method: 'HEAD', body: '' })).status, 200);
+  });
+});
+
 test('reads nothing of a body without end when the target says that it did not run the request', () =>
   assertEndsSoon({
     route: filing,
