Relay: reset a response without a length that is cut off

Callers of a stream without a length saw its regular end when the daemon cut it off, at the deadline or after a fault of its target, and took it for the complete stream: the connection was closed without a reset.

Such a response is now reset after 20 ms, in which the forwarded events leave. The test callers no longer take a reset response for none or for a complete one. The new test failed before with either caller and passes; the tests of streams, exchanges and silent targets pass.

--- a/packages/relay/src/testing/callers.ts
+++ b/packages/relay/src/testing/callers.ts
@@ -28,15 +28,22 @@
       headers: { 'x-id': 'r1', 'x-key': testKey, 'x-model': testModel, ...options.headers },
     });
     const none = { status: 0, headers: {}, text: '', isComplete: false };
-    request.on('error', () => resolve(none));
+    let hasBegun = false;
+    let hasFailed = false;
+    request.on('error', () => {
+      hasFailed = true;
+      if (!hasBegun) resolve(none);
+    });
     request.on('response', (response) => {
+      hasBegun = true;
       let text = '';
       const finish = () =>
         resolve({
           status: response.statusCode ?? 0,
           headers: response.headers,
           text,
-          isComplete: response.complete,
+          // Node.js sets `complete` also when a response without a length is reset.
+          isComplete: response.complete && !hasFailed,
         });
       response.on('data', (chunk: Buffer) => {
         text += chunk.toString();
--- a/packages/relay/src/writeRefusal.ts
+++ b/packages/relay/src/writeRefusal.ts
@@ -3,10 +3,17 @@
 
 const msPerSecond = 1_000;
 
-/**
- * Writes a refusal to the caller. A stream that has already started is closed after the forwarded events without
- * the terminating chunk of HTTP chunked encoding, so that it can't be mistaken for a complete one.
- */
+/** Time for the system to deliver the forwarded events before a reset, which drops unsent data. */
+const resetDelayMs = 20;
+
+/** Ends a response that has started so that it can't be mistaken for a complete one. */
+const cutOff = ({ socket, chunkedEncoding }: http.ServerResponse) => {
+  // Without the terminating chunk a response in chunks is incomplete.
+  if (chunkedEncoding) socket?.destroySoon();
+  else setTimeout(() => socket?.resetAndDestroy(), resetDelayMs);
+};
+
+/** Writes a refusal to the caller. A stream that has already started is cut off after the forwarded events. */
 export const writeRefusal = (
   response: http.ServerResponse,
   refusal: Refusal,
@@ -14,7 +21,7 @@
 ): void => {
   if (response.destroyed || response.writableEnded) return;
   if (response.headersSent) {
-    response.socket?.destroySoon();
+    cutOff(response);
     return;
   }
   const { cause, statusCode, ran, message, retryAfterMs } = refusal;
