--- a/packages/target-client/src/index.ts
+++ b/packages/target-client/src/index.ts
@@ -1,3 +1,4 @@
+export { createBoundedAgent } from './createBoundedAgent';
 export { checkListening, type ListeningState } from './checkListening';
 export type { ExecutionStatus } from './ExecutionStatus';
 export { createResponseBody, type ResponseBody, type BodyReader } from './createResponseBody';
