Peers: limit the answers to calls between daemons

A process that answered a call without end, in a head or in a body, was read until the timeout of the call, 2 s in the tests, and its whole body was held in memory before its signature was checked.

Calls now use the agent of the target client, with the limit of 4 MiB that calls already have.

--- a/packages/peers/src/bodyEncoding.ts
+++ b/packages/peers/src/bodyEncoding.ts
@@ -7,7 +7,7 @@
   readonly headers: Readonly<Record<string, string>>;
 }
 
-/** Limit of a request body as received, and of any body after decompression. */
+/** Limit of a body as received, and after decompression. */
 export const maxBodyBytes = 4 * 1_048_576;
 const minCompressedBytes = 512;
 const gzip = promisify<Buffer, Buffer>(zlib.gzip);
--- a/packages/peers/src/createHttpPeerCalls.ts
+++ b/packages/peers/src/createHttpPeerCalls.ts
@@ -2,6 +2,7 @@
 import type * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import * as lifecycle from '@comfreydrum/lifecycle';
+import * as targetClient from '@comfreydrum/target-client';
 import * as rpc from 'json-rpc-2.0';
 import * as undici from 'undici';
 import { decodeBody, encodeBody, maxBodyBytes } from './bodyEncoding';
@@ -60,8 +61,9 @@
 export const createHttpPeerCalls = (options: HttpPeerCallsOptions): HttpPeerCalls => {
   const { counters } = options;
   const signer = createCallSigner(options.signer);
-  const agent = new undici.Agent({
+  const agent = targetClient.createBoundedAgent({
     connect: { timeout: connectTimeoutMs },
+    maxResponseSize: maxBodyBytes,
     ...(options.localAddress === undefined ? {} : { localAddress: options.localAddress }),
     keepAliveTimeout: idleTimeoutMs,
   });
