Relay: notice a stream that delivers only comments as silent

A target that slowly sent comments without end after its second event kept its stream until the deadline: each comment counted as an event, so the stall went unnoticed, and callers got a stream cut off after event 2.

Comments are now forwarded with the event that follows them, or at the regular end of the stream, and no longer count as progress. What callers receive of a sound stream is unchanged. The new test failed before; another one shows that comments after the last event arrive.

--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -100,7 +100,7 @@
         if (!response.write(event.bytes)) answer.body.pause();
         recordEvent(event.id, nowMs);
       }
-      return splitter.bytesWithoutEvent() > maxEventBytes
+      return splitter.bufferedBytes() > maxEventBytes
         ? `over ${maxEventBytes} bytes came without an event`
         : undefined;
     };
@@ -116,8 +116,9 @@
         answer.body.discard();
       },
       onEnd: (cause) => {
+        const comments = splitter.trailingComments();
         if (cause !== undefined) settle(errors.describeCause(cause));
-        else if (splitter.bufferedBytes() > 0) settle('the answer ended in the middle of an event');
+        else if (comments === undefined) settle('the answer ended in the middle of an event');
         else if (
           isFirstOfRun &&
           isCloseDelimited(answer, context.request.method) &&
@@ -127,6 +128,7 @@
         else {
           control.stopOtherRuns();
           writeHead();
+          if (comments.length > 0) response.write(comments);
           settle(undefined);
         }
       },
--- a/packages/relay/src/createEventSplitter.test.ts
+++ b/packages/relay/src/createEventSplitter.test.ts
@@ -56,13 +56,25 @@
 test('counts the bytes of comments and of an event without end since the last event', () => {
   const splitter = createEventSplitter();
   splitter.feed(Buffer.from(': comment\n\n'));
-  assert.is(splitter.bytesWithoutEvent(), 11);
+  assert.is(splitter.bufferedBytes(), 11);
   splitter.feed(Buffer.from('data: a'));
-  assert.is(splitter.bytesWithoutEvent(), 18);
+  assert.is(splitter.bufferedBytes(), 18);
   splitter.feed(Buffer.from('\n\n'));
-  assert.is(splitter.bytesWithoutEvent(), 0);
+  assert.is(splitter.bufferedBytes(), 0);
   splitter.feed(Buffer.from('\n\nevent: a\n\n'));
-  assert.is(splitter.bytesWithoutEvent(), 12);
+  assert.is(splitter.bufferedBytes(), 12);
+});
+
+test('returns comments with the next event, and those after the last one at the end', () => {
+  const splitter = createEventSplitter();
+  assert.equal(splitter.feed(Buffer.from(': a\n\n: b\n')), []);
+  assert.is(splitter.trailingComments(), undefined);
+  const events = splitter.feed(Buffer.from('\nid: 1\ndata: c\n\n: d\n\n'));
+  assert.equal(
+    events.map(({ bytes, id }) => [bytes.toString(), id]),
+    [[': a\n\n: b\n\nid: 1\ndata: c\n\n', 1]],
+  );
+  assert.is(splitter.trailingComments()?.toString(), ': d\n\n');
 });
 
 test('buffers an event without end in linear time', () => {
--- a/packages/relay/src/createEventSplitter.ts
+++ b/packages/relay/src/createEventSplitter.ts
@@ -1,4 +1,4 @@
-/** A complete event of a stream, as the bytes received. */
+/** A complete event of a stream, as the bytes received, with the comments before it. */
 export interface StreamEvent {
   readonly bytes: Buffer;
   readonly id: number | undefined;
@@ -8,10 +8,10 @@
 export interface EventSplitter {
   /** Appends bytes and returns the events that they complete. */
   readonly feed: (bytes: Buffer) => readonly StreamEvent[];
-  /** Returns the number of buffered bytes of an incomplete event. */
+  /** Returns the number of bytes since the last event. */
   readonly bufferedBytes: () => number;
-  /** Returns the number of bytes since the last event that had an id or data; comments have neither. */
-  readonly bytesWithoutEvent: () => number;
+  /** Returns the comments since the last event; undefined in the middle of an event or comment. */
+  readonly trailingComments: () => Buffer | undefined;
 }
 
 const lineFeed = 0x0a;
@@ -19,6 +19,7 @@
 /** Length of the longest end of an event, `\n\r\n`. */
 const maxEndBytes = 3;
 const idField = /^id:[ ]?(\d+)[ ]*\r?$/m;
+/** Blocks without such a field, such as comments, are no events. */
 const contentField = /^(?:id|data)\b/m;
 
 /** Returns the index after the empty line that ends the first event, or -1. */
@@ -38,10 +39,11 @@
 };
 
 export const createEventSplitter = (): EventSplitter => {
-  /** Begins with the bytes of the incomplete event; its capacity grows by doubling. */
+  /** Begins with the bytes since the last event; its capacity grows by doubling. */
   let storage: Buffer = Buffer.alloc(0);
   let storedBytes = 0;
-  let bytesWithoutEvent = 0;
+  /** Length of the complete comments at the start of the storage. */
+  let commentBytes = 0;
 
   const append = (bytes: Buffer): Buffer => {
     if (storedBytes === 0) {
@@ -60,25 +62,29 @@
 
   return {
     feed: (bytes) => {
-      const searchFrom = Math.max(0, storedBytes - maxEndBytes + 1);
+      const searchFrom = Math.max(commentBytes, storedBytes - maxEndBytes + 1);
       const available = append(bytes);
       const events: StreamEvent[] = [];
-      let start = 0;
+      let eventStart = 0;
+      let blockStart = commentBytes;
       let end = findEventEnd(available, searchFrom);
       while (end !== -1) {
-        const event = available.subarray(start, end);
-        const text = event.toString('latin1');
-        events.push({ bytes: event, id: readId(text) });
-        bytesWithoutEvent = contentField.test(text) ? 0 : bytesWithoutEvent + event.length;
-        start = end;
-        end = findEventEnd(available, start);
+        const text = available.toString('latin1', blockStart, end);
+        if (contentField.test(text)) {
+          events.push({ bytes: available.subarray(eventStart, end), id: readId(text) });
+          eventStart = end;
+        }
+        blockStart = end;
+        end = findEventEnd(available, blockStart);
       }
-      storedBytes = available.length - start;
+      storedBytes = available.length - eventStart;
+      commentBytes = blockStart - eventStart;
       // The events refer to the old storage; without spare capacity it is not written to again.
-      if (start > 0) storage = available.subarray(start);
+      if (eventStart > 0) storage = available.subarray(eventStart);
       return events;
     },
     bufferedBytes: () => storedBytes,
-    bytesWithoutEvent: () => bytesWithoutEvent + storedBytes,
+    trailingComments: () =>
+      storedBytes > commentBytes ? undefined : storage.subarray(0, commentBytes),
   };
 };
--- a/packages/relay/src/endlessAnswers.test.ts
+++ b/packages/relay/src/endlessAnswers.test.ts
@@ -278,6 +278,20 @@
     mostMs: takeoverMs,
   }));
 
+test('resumes a stream at another target when the first one slowly sends comments without end', () =>
+  assertEndsSoon({
+    route: {},
+    answer: {
+      start: afterEvents(2),
+      repeated: chunkOf(': still here\n\n'),
+      bytesPerWrite: 1,
+      intervalMs: 20,
+    },
+    check: isWhole(eventsOf(1, 4)),
+    other: createStreamTarget(4, 'other'),
+    mostMs: takeoverMs,
+  }));
+
 test('does not let a close-delimited stream look complete when it is cut off in an event without end', () =>
   assertEndsSoon({
     route: singleStream,
@@ -352,6 +366,17 @@
   );
 });
 
+test('forwards comments after the last event of a sound stream', async () => {
+  const text = `${eventsOf(1, 2)}: end\n\n`;
+  const listener: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's');
+    response.end(text);
+  };
+  await withRelay({ targets: [{ id: 't1', listener }] }, async ({ url }) =>
+    isWhole(text)(await call(url)),
+  );
+});
+
 test('forwards a sound event of some tens of kilobytes', async () => {
   const text = `id: 1\ndata: ${'a'.repeat(60_000)}\n\n`;
   const listener: http.RequestListener = (request, response) => {
