--- a/packages/relay/src/assessStall.ts
+++ b/packages/relay/src/assessStall.ts
@@ -17,7 +17,7 @@
  *
  * - `wait`: keep waiting for the next event.
  * - `probe`: probe the members of the group.
- * - `head-stands-still`, `stream-hangs`: move the stream to another head without probing.
+ * - `head-stands-still`, `stream-hangs`: hedge the stream at another head without probing.
  */
 export type StallAssessment = 'wait' | 'probe' | 'head-stands-still' | 'stream-hangs';
 
@@ -35,7 +35,7 @@
 const firstEventHangMs = 1_800;
 
 /**
- * Decides whether a stream has stalled and should move to another head. A head with a dead or disconnected member
+ * Decides whether a stream has stalled and should be hedged at another head. A head with a dead or disconnected member
  * stops all of its streams at once without reporting an error, whereas a single silent stream may just be queued.
  *
  * Designed for groups that lose members while their batches are not overfull.
