Relay: send targets no more than the limit that they name, over all daemons

Cause: no part of the product read the header, and nothing limited what all daemons together send to one target. Change: createRunAllowance, which decides on every run, selects the target through selectTarget. A target with a limit needs a permit; the holder of the lease schedules the permits of all daemons (createSendSchedule), a daemon without an answer from it uses its equal share of the limits. What a limit can't carry goes to targets without one, waits for up to half of the latency target, or is refused at once with a Retry-After. Hedges never go to targets with a limit. Check-ins bring limits, their changes and their ends to all daemons; only an answer to a request sent after the limit was last named ends it. A limit that is no decimal number is logged once a target and changes nothing. Ruled out: keeping limits in each daemon alone (8 daemons would send a multiple, 340 could not send at all).

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -88,6 +88,16 @@
   random: Math.random,
 });
 
+/** Returns the lease holder, which schedules the requests to targets that name a limit. */
+const findScheduler = (
+  state: formation.LeaseState,
+): ReturnType<relay.LimitOptions['scheduler']> => {
+  if (state.kind === 'holder') return { kind: state.mayAct ? 'self' : 'unknown' };
+  return state.holderAddress === undefined
+    ? { kind: 'unknown' }
+    : { kind: 'peer', address: state.holderAddress };
+};
+
 const createRelay = (container: tsyringe.DependencyContainer) => {
   const { ip, failureDomain, callers, keys, retries, shutdown } = container.resolve(
     relayTokens.settings,
@@ -135,24 +145,37 @@
       storeKey: verdictsKey,
       isHolder: () => container.resolve(relayTokens.lease).state().kind === 'holder',
     },
+    limits: {
+      calls: container.resolve(relayTokens.calls),
+      runId: container.resolve(relayTokens.runId),
+      scheduler: () => findScheduler(container.resolve(relayTokens.lease).state()),
+      checkInSoon: () => container.resolve(relayTokens.lease).checkInSoon(),
+    },
   });
 };
 
-/** Merges what daemons exchange in check-ins: the fleet's state and the crashes of targets. */
+/** Merges what daemons exchange in check-ins: the fleet's state, the crashes and the limits of targets. */
 const createCheckInPayload = (
   container: tsyringe.DependencyContainer,
   stateExchange: fleet.FleetStateExchange,
 ): formation.CheckInPayload => {
   const crashExchange = () => container.resolve(relayTokens.relay).crashExchange;
+  const limitExchange = () => container.resolve(relayTokens.relay).limitExchange;
   return {
-    createRequest: () => ({ ...stateExchange.createRequest(), ...crashExchange().createRequest() }),
+    createRequest: () => ({
+      ...stateExchange.createRequest(),
+      ...crashExchange().createRequest(),
+      ...limitExchange().createRequest(),
+    }),
     createResponse: (request) => ({
       ...stateExchange.createResponse(request),
       ...crashExchange().createResponse(request),
+      ...limitExchange().createResponse(request),
     }),
     applyResponse: (response, askedAt) => {
       stateExchange.applyResponse(response, askedAt);
       crashExchange().applyResponse(response);
+      limitExchange().applyResponse(response);
     },
   };
 };
--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -12,6 +12,7 @@
   | 'no-group'
   | 'no-target'
   | 'overload'
+  | 'target-limits'
   | 'quarantined'
   | 'targets-refused'
   | 'target-failed'
@@ -47,6 +48,16 @@
   message,
 });
 
+const minLimitRetryAfterMs = 50;
+
+/** Creates the refusal of a request whose possible targets have all reached the limits that they name. */
+export const createLimitRefusal = (serviceName: string, retryAfterMs: number): Refusal =>
+  createNotRunRefusal(
+    'target-limits',
+    `the targets of service ${serviceName} that may take the request have reached their limits`,
+    Math.max(minLimitRetryAfterMs, retryAfterMs),
+  );
+
 const quarantineMessages: Readonly<Record<QuarantineSubject, string>> = {
   request: 'the request is quarantined: targets ended while they ran it',
   'prompt-part':
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -8,6 +8,7 @@
 import type { RelayMetrics } from './createRelayMetrics';
 import type { ServiceRetryBudgets } from './createServiceRetryBudgets';
 import type { StallMonitor } from './createStallMonitor';
+import type { TargetLimits } from './limits/createTargetLimits';
 import type { TargetTracker } from './createTargetTracker';
 import type { TargetDirectory } from './createTargetDirectory';
 import type { TargetWire } from './TargetWire';
@@ -52,4 +53,5 @@
   readonly failureReporter: FailureReporter;
   readonly hasher: routing.PrefixHasher;
   readonly crashMonitor: CrashMonitor;
+  readonly targetLimits: TargetLimits;
 }
--- a/packages/relay/src/TargetWire.ts
+++ b/packages/relay/src/TargetWire.ts
@@ -1,4 +1,5 @@
 import type { CallerRequest } from './CallerRequest';
+import type { NamedLimit } from './limits/NamedLimit';
 
 /** One attempt to send a request to a target. */
 export interface Dispatch {
@@ -18,6 +19,7 @@
   readonly confirmsNotRun: boolean;
   /** The target that the response reports as the cause of a failure. */
   readonly faultyTargetId: string | undefined;
+  readonly namedLimit: NamedLimit;
 }
 
 /** Encodes request headers and decodes response metadata in the targets' wire format. */
--- a/packages/relay/src/chooseTarget.ts
+++ b/packages/relay/src/chooseTarget.ts
@@ -19,6 +19,8 @@
   /** Requests that the other daemons have in progress there, by their latest reports. */
   readonly otherInFlight: number;
   readonly stats: TargetStats;
+  /** Requests per second that the target accepts from all daemons together; undefined without a limit. */
+  readonly limitPerSecond?: number | undefined;
 }
 
 /** Inputs of a choice other than the candidates. */
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -16,6 +16,8 @@
 import { createCrashMonitor } from './crashes/createCrashMonitor';
 import { createProcessCheck } from './crashes/createProcessCheck';
 import { createVerdictStore } from './crashes/createVerdictStore';
+import { createTargetLimits, type LimitOptions } from './limits/createTargetLimits';
+import type { LimitExchange } from './limits/createLimitExchange';
 import { createRelayMetrics } from './createRelayMetrics';
 import { createServiceRetryBudgets } from './createServiceRetryBudgets';
 import { createStallMonitor } from './createStallMonitor';
@@ -61,6 +63,7 @@
   readonly failureReporter: FailureReporter;
   readonly hasher: routing.PrefixHasher;
   readonly crashes: CrashOptions;
+  readonly limits: LimitOptions;
 }
 
 /** Serves callers' requests and reports readiness and load. */
@@ -72,6 +75,7 @@
   /** Returns the requests that this daemon has in progress, by run of a target. */
   readonly ownLoads: () => Readonly<Record<string, number>>;
   readonly crashExchange: CrashExchange;
+  readonly limitExchange: LimitExchange;
 }
 
 /**
@@ -126,6 +130,13 @@
         crashExchange.publish(verdict);
       }),
   });
+  const targetLimits = createTargetLimits({
+    ...options.limits,
+    clock,
+    log,
+    random: options.random,
+    daemonCount: options.daemonCount,
+  });
   let reserveTimer: NodeJS.Timeout | undefined;
   const dependencies: RelayDependencies = {
     clock,
@@ -141,6 +152,7 @@
       targetTracker,
       failureDomain: options.failureDomain,
       otherLoads: options.otherLoads,
+      limitOf: targetLimits.limitOf,
     }),
     callerWire: options.callerWire,
     targetWire: options.targetWire,
@@ -150,6 +162,7 @@
     failureReporter: options.failureReporter,
     hasher: options.hasher,
     crashMonitor,
+    targetLimits,
   };
   const callerListener = createCallerListener(dependencies, options);
   let lastReady: boolean | undefined;
@@ -182,6 +195,7 @@
     hasReceivedRequests: callerListener.hasReceivedRequests,
     ownLoads: targetTracker.loads,
     crashExchange,
+    limitExchange: targetLimits.exchange,
     component: {
       name: 'relay',
       start: async () => {
--- a/packages/relay/src/createRelayMetrics.ts
+++ b/packages/relay/src/createRelayMetrics.ts
@@ -5,6 +5,7 @@
   readonly requests: telemetry.Counter;
   readonly outcomes: telemetry.Counter;
   readonly dispatches: telemetry.Counter;
+  readonly limitedSends: telemetry.Counter;
   readonly crashedRuns: telemetry.Counter;
   readonly cutOffResponses: telemetry.Counter;
   readonly firstEventMs: telemetry.Histogram;
@@ -23,6 +24,11 @@
     'service',
     'reason',
   ]),
+  limitedSends: metrics.counter(
+    'comfreydrum_limited_sends_total',
+    'Requests that asked for a permit to be sent to a target with a limit, by outcome.',
+    ['service', 'outcome'],
+  ),
   crashedRuns: metrics.counter(
     'comfreydrum_crashed_runs_total',
     'Runs of requests whose target ended meanwhile.',
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -22,6 +22,8 @@
   readonly failureDomain: string;
   /** Returns the requests that the other daemons have in progress, by run of a target. */
   readonly otherLoads: () => Readonly<Record<string, number>>;
+  /** Returns the requests per second that a run of a target accepts from all daemons. */
+  readonly limitOf: (targetKey: string) => number | undefined;
 }
 
 /** Expected response time of a target outside of groups. */
@@ -75,6 +77,7 @@
       otherInFlight: otherLoads[key] ?? 0,
       isSameDomain: target.failureDomain === failureDomain,
       stats: targetTracker.read(key, nowMs),
+      limitPerSecond: options.limitOf(key),
     };
   };
 
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,5 +1,7 @@
 export type { CallerRequest, CallerWire } from './CallerRequest';
 export type { ResponseMetadata, Dispatch, TargetWire } from './TargetWire';
 export type { FailureReporter, LossConfirmation } from './RelayDependencies';
+export type { LimitOptions } from './limits/createTargetLimits';
+export type { NamedLimit } from './limits/NamedLimit';
 export { endToEndHeaders } from './endToEndHeaders';
 export { createRelay, type CrashOptions, type Relay, type RelayOptions } from './createRelay';
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -3,6 +3,7 @@
 import type { QuarantineSubject } from '../crashes/createCrashMonitor';
 import type { RelayDependencies } from '../RelayDependencies';
 import type { RequestContext } from '../RequestContext';
+import { selectTarget, type SelectionDenial } from './selectTarget';
 
 type RetryDenial = Extract<routing.RetryDecision, { kind: 'denied' }>['reason'];
 
@@ -13,12 +14,11 @@
       readonly subject: QuarantineSubject;
       readonly retryAfterMs: number;
     }
-  | { readonly reason: 'no-slot'; readonly candidate: Candidate }
+  | SelectionDenial
   | {
       readonly reason:
         | RetryDenial
         | 'unauthorized'
-        | 'no-target'
         | 'not-repeatable'
         | 'too-many-runs'
         | 'too-many-rejections'
@@ -31,11 +31,14 @@
 
 /** Decides whether and where a request runs next; knows all of its runs. */
 export interface RunAllowance {
-  /** Decides on the first run, or on the next one after all earlier ones have failed. */
-  readonly next: (nowMs: number) => RunDecision;
+  /**
+   * Decides on the first run, or on the next one after all earlier ones have failed; waits where only targets with
+   * a limit can take it.
+   */
+  readonly next: () => Promise<RunDecision>;
   /**
    * Decides on a hedge: a run on another target beside one that has been silent for `silentMs`. It needs a target that
-   * can start it at once and has delivered something meanwhile, unless it is idle.
+   * can start it at once, names no limit and has delivered something meanwhile, unless it is idle.
    */
   readonly hedge: (nowMs: number, silentMs: number) => RunDecision;
   /** Records a run that the target has rejected, or that the target may have executed and failed. */
@@ -69,6 +72,7 @@
   context: RequestContext,
   options: RunAllowanceOptions,
 ): RunAllowance => {
+  const { clock } = dependencies;
   const { route, service, deadlineAtMs } = context;
   const retryBudget = dependencies.retryBudgets.of(service.name);
   const tried = new Set<string>();
@@ -81,6 +85,7 @@
 
   const canHedge = (candidate: Candidate, nowMs: number, silentMs: number): boolean => {
     const { silentSinceMs = nowMs } = candidate.stats;
+    if (candidate.limitPerSecond !== undefined) return false;
     return hasFreeSlot(candidate) && nowMs - silentSinceMs < silentMs * sharedSilenceFraction;
   };
 
@@ -91,27 +96,22 @@
     return undefined;
   };
 
-  const decide = (nowMs: number, hedgedSilenceMs?: number): RunDecision => {
-    const isHedge = hedgedSilenceMs !== undefined;
-    const isRetry = tried.size > 0;
+  const listUntried = (nowMs: number) =>
+    options.listCandidates(nowMs).filter(({ key }) => !tried.has(key));
+
+  /** Returns why the request may not be sent at all now. */
+  const findDenial = (nowMs: number, isRetry: boolean): RunDenial | undefined => {
     const retryDenial = isRetry ? findRetryDenial() : undefined;
-    if (!context.isStillAuthorized()) return deny({ reason: 'unauthorized' });
+    if (!context.isStillAuthorized()) return { reason: 'unauthorized' };
     const status = dependencies.crashMonitor.check(context.fingerprint, context.sharedPartIds);
-    if (status.kind === 'quarantined') {
-      return deny({ ...status, reason: 'quarantined' });
-    }
-    if (deadlineAtMs - nowMs < minSendBudgetMs) return deny({ reason: 'deadline-reached' });
-    if (retryDenial !== undefined) return deny(retryDenial);
-    if (isHedge && !retryBudget.canRetry(isHedge)) return deny({ reason: 'budget-spent' });
-    const candidates = options
-      .listCandidates(nowMs)
-      .filter(({ key }) => !tried.has(key))
-      .filter((candidate) => !isHedge || canHedge(candidate, nowMs, hedgedSilenceMs));
-    const candidate = chooseTarget(candidates, { nowMs, random: dependencies.random });
-    if (candidate === undefined) return deny({ reason: 'no-target' });
-    if (!isRetry && options.needsFreeSlot && !hasFreeSlot(candidate)) {
-      return deny({ reason: 'no-slot', candidate });
-    }
+    if (status.kind === 'quarantined') return { ...status, reason: 'quarantined' };
+    if (deadlineAtMs - nowMs < minSendBudgetMs) return { reason: 'deadline-reached' };
+    return retryDenial;
+  };
+
+  /** Starts a run on a target, as a retry if the retry budget allows it. */
+  const start = (candidate: Candidate, nowMs: number, isHedge: boolean): RunDecision => {
+    const isRetry = tried.size > 0;
     if (isRetry) {
       const { key: targetId, expectedMs } = candidate;
       const retry = { targetId, triedIds: tried, deadlineAtMs, expectedMs, isOptional: isHedge };
@@ -122,9 +122,38 @@
     return { kind: 'allowed', candidate, isRetry };
   };
 
+  const next = async (): Promise<RunDecision> => {
+    const isRetry = tried.size > 0;
+    const denial = findDenial(clock.monotonicMs(), isRetry);
+    if (denial !== undefined) return deny(denial);
+    const needsFreeSlot = options.needsFreeSlot && !isRetry;
+    const selection = await selectTarget(dependencies, context, {
+      listCandidates: listUntried,
+      needsFreeSlot,
+      isRetry,
+    });
+    if (selection.kind === 'denied') return deny(selection.denial);
+    // The selection may have waited.
+    const nowMs = clock.monotonicMs();
+    const lateDenial = findDenial(nowMs, isRetry);
+    if (lateDenial !== undefined) return deny(lateDenial);
+    return start(selection.candidate, nowMs, false);
+  };
+
+  const hedge = (nowMs: number, silentMs: number): RunDecision => {
+    const denial = findDenial(nowMs, true);
+    if (denial !== undefined) return deny(denial);
+    if (!retryBudget.canRetry(true)) return deny({ reason: 'budget-spent' });
+    const candidates = listUntried(nowMs).filter((candidate) =>
+      canHedge(candidate, nowMs, silentMs),
+    );
+    const candidate = chooseTarget(candidates, { nowMs, random: dependencies.random });
+    return candidate === undefined ? deny({ reason: 'no-target' }) : start(candidate, nowMs, true);
+  };
+
   return {
-    next: (nowMs) => decide(nowMs),
-    hedge: decide,
+    next,
+    hedge,
     onFailure: (ran, wasRejected) => {
       if (ran === 'unknown') failedRunCount += 1;
       else notRunCount += 1;
--- a/packages/relay/src/runs/superviseRuns.test.ts
+++ b/packages/relay/src/runs/superviseRuns.test.ts
@@ -18,7 +18,7 @@
     return { kind: 'allowed', candidate: candidate(key), isRetry: true };
   };
   return {
-    next: decide,
+    next: async () => decide(),
     hedge: decide,
     onFailure: () => {},
     failedRunCount: () => 0,
--- a/packages/relay/src/runs/superviseRuns.ts
+++ b/packages/relay/src/runs/superviseRuns.ts
@@ -130,7 +130,8 @@
     for (;;) {
       if (running.size === 0) {
         await failuresRecorded;
-        const decision = allowance.next(clock.monotonicMs());
+        const decision = await allowance.next();
+        if (callerDisconnected.aborted) return { kind: 'caller-gone' };
         if (decision.kind === 'denied') return decision;
         start(decision.candidate, decision.isRetry ? 'retry' : 'first');
       }
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -72,6 +72,17 @@
   return { kind: 'answer', matched: { answer, metadata } };
 };
 
+const recordLimit = (
+  { targetWire, targetLimits }: RelayDependencies,
+  targetKey: string,
+  { statusCode, headers }: targetClient.TargetResponse,
+  sentAtMs: number,
+) => {
+  const { namedLimit: named } = targetWire.decodeResponse(statusCode, headers);
+  const isSuccess = statusCode >= 200 && statusCode < 300;
+  targetLimits.onAnswer({ targetKey, named, isSuccess, sentAtMs });
+};
+
 /** Sends a request to one target and reads the head of the response. */
 export const sendToTarget = async (
   dependencies: RelayDependencies,
@@ -81,6 +92,7 @@
   const { request } = context;
   const remainingMs = Math.floor(context.deadlineAtMs - dependencies.clock.monotonicMs());
   const client = isRepeatable(context.route) ? dependencies.client : dependencies.singleUseClient;
+  const sentAtMs = dependencies.clock.monotonicMs();
   const sent = await client.send({
     url: `http://${candidate.address}`,
     path: request.url,
@@ -99,5 +111,7 @@
       return isAuthorized;
     },
   });
-  return toSendResult(dependencies, context, sent, signal);
+  const result = toSendResult(dependencies, context, sent, signal);
+  if (sent.ok) recordLimit(dependencies, candidate.key, sent.value, sentAtMs);
+  return result;
 };
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -5,7 +5,12 @@
 import { isRepeatable } from './isRepeatable';
 import { makeCloseDelimited } from './makeCloseDelimited';
 import { refuseUnverifiedKey } from './refuseUnverifiedKey';
-import { createNotRunRefusal, createFailureRefusal, createQuarantineRefusal } from './Refusal';
+import {
+  createNotRunRefusal,
+  createFailureRefusal,
+  createLimitRefusal,
+  createQuarantineRefusal,
+} from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import { createRunAllowance, type RunDenial } from './runs/createRunAllowance';
@@ -86,6 +91,9 @@
       const refusal = createQuarantineRefusal(failedCount, denial);
       return { kind: 'refused', refusal };
     }
+    if (denial.reason === 'target-limits' && failedCount === 0) {
+      return { kind: 'refused', refusal: createLimitRefusal(service.name, denial.retryAfterMs) };
+    }
     if (failedAnswer === undefined) return { kind: 'refused', refusal: createRefusal(denial) };
     writeAnswer(context, failedAnswer);
     return { kind: 'answered', statusCode: failedAnswer.statusCode };
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -8,6 +8,7 @@
 import {
   createNotRunRefusal,
   createFailureRefusal,
+  createLimitRefusal,
   createQuarantineRefusal,
   type Refusal,
 } from './Refusal';
@@ -97,6 +98,9 @@
       const refusal = createQuarantineRefusal(failedCount, denial);
       return { kind: 'refused', refusal };
     }
+    if (denial.reason === 'target-limits' && failedCount === 0) {
+      return { kind: 'refused', refusal: createLimitRefusal(service.name, denial.retryAfterMs) };
+    }
     if (denial.reason === 'no-slot') {
       const load = utilizationOf(denial.candidate).toFixed(2);
       const text = `the least loaded group of model ${request.modelName} is at ${load} of its places`;
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -151,6 +151,10 @@
     requestId: headers['x-id'] as string | undefined,
     confirmsNotRun: headers['x-not-run'] !== undefined,
     faultyTargetId: headers['x-faulty'] as string | undefined,
+    namedLimit:
+      headers['x-limit'] === undefined
+        ? { kind: 'none' }
+        : { kind: 'limit', perSecond: Number(headers['x-limit']) },
   }),
 };
 
@@ -250,6 +254,12 @@
       storeKey: { kind: 'quarantines', name: 'requests' },
       isHolder: () => false,
     },
+    limits: {
+      calls: testing.createFakeNetwork().join('test'),
+      runId: 'test',
+      scheduler: () => ({ kind: 'self' }),
+      checkInSoon: () => {},
+    },
   });
   await created.component.start?.();
   return {
