Relay: hand requests over to another daemon while this one reaches no target

Cause: a daemon had no other way to a target than its own links, and took their loss for that of the targets. Change: a daemon doubts its links when several targets are silent together for 0.4 s or refuse connections and none has delivered since (isReachInDoubt). It probes three of them and asks other daemons; if none answers and others reach the service, it hands requests to those (createTargetReach), in its failure domain first, until probes answer again. A request that fails to connect to two targets is handed over at once, and these two attempts cost no retry. To the supervision of runs another daemon is one more target: a request that may run once is sent to it once, a hang-up aborts it, a stream resumes after its last event, the time and the runs left are passed on. A handed-over request goes no further. Ruled out: no longer ready, since a zone with less than half of its daemons ready gets all of its callers anyway.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -145,6 +145,10 @@
       storeKey: verdictsKey,
       isHolder: () => container.resolve(relayTokens.lease).state().kind === 'holder',
     },
+    reach: {
+      calls: container.resolve(relayTokens.calls),
+      peerAddresses: () => container.resolve(relayTokens.lease).contactAddresses(),
+    },
     limits: {
       calls: container.resolve(relayTokens.calls),
       runId: container.resolve(relayTokens.runId),
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -9,6 +9,7 @@
 import type { ServiceRetryBudgets } from './createServiceRetryBudgets';
 import type { StallMonitor } from './createStallMonitor';
 import type { TargetLimits } from './limits/createTargetLimits';
+import type { TargetReach } from './reach/createTargetReach';
 import type { TargetTracker } from './createTargetTracker';
 import type { TargetDirectory } from './createTargetDirectory';
 import type { TargetWire } from './TargetWire';
@@ -54,4 +55,5 @@
   readonly hasher: routing.PrefixHasher;
   readonly crashMonitor: CrashMonitor;
   readonly targetLimits: TargetLimits;
+  readonly targetReach: TargetReach;
 }
--- a/packages/relay/src/TargetWire.ts
+++ b/packages/relay/src/TargetWire.ts
@@ -22,9 +22,17 @@
   readonly namedLimit: NamedLimit;
 }
 
+/** A request that shows whether a target can be reached. */
+export interface TargetProbe {
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+}
+
 /** Encodes request headers and decodes response metadata in the targets' wire format. */
 export interface TargetWire {
   readonly requestHeaders: (request: CallerRequest, dispatch: Dispatch) => readonly string[];
+  /** Returns a request that any target answers, if only with an error. */
+  readonly probeRequest: (targetId: string) => TargetProbe;
   readonly decodeResponse: (
     statusCode: number,
     headers: Readonly<Record<string, string | readonly string[] | undefined>>,
--- a/packages/relay/src/chooseTarget.ts
+++ b/packages/relay/src/chooseTarget.ts
@@ -21,6 +21,10 @@
   readonly stats: TargetStats;
   /** Requests per second that the target accepts from all daemons together; undefined without a limit. */
   readonly limitPerSecond?: number | undefined;
+  /** Whether this is another daemon, which serves the request for this one. */
+  readonly isDaemon?: boolean;
+  /** Number of targets on which another daemon may run the request. */
+  readonly remainingRuns?: number;
 }
 
 /** Inputs of a choice other than the candidates. */
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -237,6 +237,8 @@
   return {
     check,
     onDispatch: (run) => {
+      // The daemon that serves the request records its targets.
+      if (run.candidate.isDaemon) return;
       const { runId, fingerprint, sharedPartIds, candidate } = run;
       const nowMs = clock.monotonicMs();
       sentAtMs.set(run, nowMs);
@@ -259,7 +261,7 @@
         else log.debug(fields, 'cleared a suspect request that completed');
         publish(cleared);
       }
-      if (end !== 'broken') return;
+      if (end !== 'broken' || candidate.isDaemon) return;
       const checked = checkTarget(candidate);
       if (check(fingerprint, sharedPartIds).kind !== 'clear') await checked;
     },
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -16,9 +16,11 @@
 import { createCrashMonitor } from './crashes/createCrashMonitor';
 import { createProcessCheck } from './crashes/createProcessCheck';
 import { createVerdictStore } from './crashes/createVerdictStore';
+import { createTargetReach, type ReachOptions } from './reach/createTargetReach';
 import { createTargetLimits, type LimitOptions } from './limits/createTargetLimits';
 import type { LimitExchange } from './limits/createLimitExchange';
 import { createRelayMetrics } from './createRelayMetrics';
+import { probeTarget } from './reach/probeTarget';
 import { createServiceRetryBudgets } from './createServiceRetryBudgets';
 import { createStallMonitor } from './createStallMonitor';
 import { createTargetTracker } from './createTargetTracker';
@@ -64,6 +66,7 @@
   readonly hasher: routing.PrefixHasher;
   readonly crashes: CrashOptions;
   readonly limits: LimitOptions;
+  readonly reach: ReachOptions;
 }
 
 /** Serves callers' requests and reports readiness and load. */
@@ -137,6 +140,29 @@
     random: options.random,
     daemonCount: options.daemonCount,
   });
+  const directory = createTargetDirectory({
+    targets,
+    targetTracker,
+    failureDomain: options.failureDomain,
+    otherLoads: options.otherLoads,
+    limitOf: targetLimits.limitOf,
+  });
+  /** Assigned once the listener exists. */
+  let isDraining = () => false;
+  const targetReach = createTargetReach({
+    ...options.reach,
+    clock,
+    log,
+    random: options.random,
+    failureDomain: options.failureDomain,
+    callerAddress: `${options.host}:${options.port}`,
+    isDraining: () => isDraining(),
+    services: () => [...(plan.current()?.services.values() ?? [])],
+    candidatesOf: (service) => directory.allTargets(service, clock.monotonicMs()),
+    probe: ({ address, targetId }) =>
+      probeTarget(singleUseClient, options.targetWire, { address, targetId }),
+    targetTracker,
+  });
   let reserveTimer: NodeJS.Timeout | undefined;
   const dependencies: RelayDependencies = {
     clock,
@@ -147,13 +173,7 @@
     singleUseClient,
     stallMonitor,
     metrics,
-    directory: createTargetDirectory({
-      targets,
-      targetTracker,
-      failureDomain: options.failureDomain,
-      otherLoads: options.otherLoads,
-      limitOf: targetLimits.limitOf,
-    }),
+    directory,
     callerWire: options.callerWire,
     targetWire: options.targetWire,
     retryBudgets,
@@ -163,8 +183,10 @@
     hasher: options.hasher,
     crashMonitor,
     targetLimits,
+    targetReach,
   };
   const callerListener = createCallerListener(dependencies, options);
+  isDraining = callerListener.isDraining;
   let lastReady: boolean | undefined;
 
   const evaluateReadiness = () => {
@@ -186,6 +208,7 @@
 
   const children: readonly lifecycle.Component[] = [
     stallMonitor.component,
+    targetReach.component,
     callerListener.component,
     verdictStore,
   ];
@@ -206,6 +229,7 @@
         clearInterval(reserveTimer);
         await callerListener.component.stop?.();
         await verdictStore.stop?.();
+        await targetReach.component.stop?.();
         await stallMonitor.component.stop?.();
         await Promise.all([client.close(), singleUseClient.close()]);
       },
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -12,6 +12,8 @@
   ) => readonly Candidate[];
   /** Returns the live targets of a service whose targets don't form groups. */
   readonly standaloneTargets: (service: fleet.Service, nowMs: number) => readonly Candidate[];
+  /** Returns the heads and targets of a service that can take requests of any model. */
+  readonly allTargets: (service: fleet.Service, nowMs: number) => readonly Candidate[];
   /** Returns the maximum time for which the list of targets may be out of date. */
   readonly ageMs: () => number;
 }
@@ -81,38 +83,46 @@
     };
   };
 
+  const groupHeads: TargetDirectory['groupHeads'] = (service, modelName, nowMs) => {
+    const { engine } = service;
+    if (engine === undefined) return [];
+    const otherLoads = options.otherLoads();
+    pruneUnlisted();
+    return targets.groups().flatMap((group) => {
+      if (modelName !== undefined && group.modelName !== modelName) return [];
+      const model = findModel(service, group.modelName);
+      if (model === undefined || !isServing(group, service)) return [];
+      const facts = {
+        groupKey: group.key,
+        slots: engine.slotsPerGroup,
+        expectedMs: expectedGapMs(engine, model),
+      };
+      return [toCandidate(group.head!, facts, otherLoads, nowMs)];
+    });
+  };
+
+  const standaloneTargets: TargetDirectory['standaloneTargets'] = (service, nowMs) => {
+    pruneUnlisted();
+    const otherLoads = options.otherLoads();
+    return [...targets.all().values()]
+      .filter(({ serviceName, state }) => serviceName === service.name && state === 'live')
+      .map((target) =>
+        toCandidate(
+          target,
+          { groupKey: undefined, slots: target.slots, expectedMs: standaloneExpectedMs },
+          otherLoads,
+          nowMs,
+        ),
+      );
+  };
+
   return {
     ageMs: targets.ageMs,
-    groupHeads: (service, modelName, nowMs) => {
-      const { engine } = service;
-      if (engine === undefined) return [];
-      const otherLoads = options.otherLoads();
-      pruneUnlisted();
-      return targets.groups().flatMap((group) => {
-        if (modelName !== undefined && group.modelName !== modelName) return [];
-        const model = findModel(service, group.modelName);
-        if (model === undefined || !isServing(group, service)) return [];
-        const facts = {
-          groupKey: group.key,
-          slots: engine.slotsPerGroup,
-          expectedMs: expectedGapMs(engine, model),
-        };
-        return [toCandidate(group.head!, facts, otherLoads, nowMs)];
-      });
-    },
-    standaloneTargets: (service, nowMs) => {
-      pruneUnlisted();
-      const otherLoads = options.otherLoads();
-      return [...targets.all().values()]
-        .filter(({ serviceName, state }) => serviceName === service.name && state === 'live')
-        .map((target) =>
-          toCandidate(
-            target,
-            { groupKey: undefined, slots: target.slots, expectedMs: standaloneExpectedMs },
-            otherLoads,
-            nowMs,
-          ),
-        );
-    },
+    groupHeads,
+    standaloneTargets,
+    allTargets: (service, nowMs) =>
+      service.engine === undefined
+        ? standaloneTargets(service, nowMs)
+        : groupHeads(service, undefined, nowMs),
   };
 };
--- a/packages/relay/src/createTargetTracker.ts
+++ b/packages/relay/src/createTargetTracker.ts
@@ -11,6 +11,10 @@
   readonly failureRate: number;
   /** Until when the target gets no new requests if another one is available. */
   readonly avoidUntilMs: number;
+  /** When the target last sent anything. */
+  readonly lastProgressAtMs: number;
+  /** When a connection to the target last failed. */
+  readonly unreachedAtMs: number;
 }
 
 /** Collects statistics about targets from the requests sent to them. */
@@ -21,6 +25,8 @@
   readonly onProgress: (targetKey: string, nowMs: number) => void;
   readonly onGap: (targetKey: string, gapMs: number) => void;
   readonly onResponse: (targetKey: string, durationMs: number, nowMs: number) => void;
+  /** Records that a connection to the target failed before the response began. */
+  readonly onUnreached: (targetKey: string, nowMs: number) => void;
   readonly onFailure: (targetKey: string, nowMs: number) => void;
   readonly onEnd: (targetKey: string) => void;
   readonly avoid: (targetKey: string, untilMs: number) => void;
@@ -39,6 +45,7 @@
   failureRate: number;
   failureAtMs: number;
   avoidUntilMs: number;
+  unreachedAtMs: number;
 }
 
 const smoothing = 0.15;
@@ -66,6 +73,7 @@
       failureRate: 0,
       failureAtMs: 0,
       avoidUntilMs: -Infinity,
+      unreachedAtMs: -Infinity,
     };
     entries.set(targetKey, created);
     return created;
@@ -101,6 +109,9 @@
       entry.responseMs = applySmoothing(entry.responseMs, durationMs);
       recordOutcome(targetKey, 0, nowMs);
     },
+    onUnreached: (targetKey, nowMs) => {
+      getOrCreateEntry(targetKey).unreachedAtMs = nowMs;
+    },
     onFailure: (targetKey, nowMs) => recordOutcome(targetKey, 1, nowMs),
     onEnd: (targetKey) => {
       const entry = getOrCreateEntry(targetKey);
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,7 +1,8 @@
-export type { CallerRequest, CallerWire } from './CallerRequest';
+export type { CallerRequest, CallerWire, Handover, HandoverRequest } from './CallerRequest';
 export type { ResponseMetadata, Dispatch, TargetWire } from './TargetWire';
 export type { FailureReporter, LossConfirmation } from './RelayDependencies';
 export type { LimitOptions } from './limits/createTargetLimits';
 export type { NamedLimit } from './limits/NamedLimit';
 export { endToEndHeaders } from './endToEndHeaders';
+export type { ReachOptions } from './reach/createTargetReach';
 export { createRelay, type CrashOptions, type Relay, type RelayOptions } from './createRelay';
--- /dev/null
+++ b/packages/relay/src/reach/probeTarget.ts
@@ -0,0 +1,22 @@
+import type * as targetClient from '@comfreydrum/target-client';
+import type { Candidate } from '../chooseTarget';
+import type { TargetWire } from '../TargetWire';
+
+const probeTimeoutMs = 300;
+
+/** Reports whether a target gives any answer on a new connection. */
+export const probeTarget = async (
+  client: targetClient.TargetClient,
+  targetWire: TargetWire,
+  { address, targetId }: Pick<Candidate, 'address' | 'targetId'>,
+): Promise<boolean> => {
+  const sent = await client.send({
+    url: `http://${address}`,
+    method: 'GET',
+    ...targetWire.probeRequest(targetId),
+    body: null,
+    signal: AbortSignal.timeout(probeTimeoutMs),
+  });
+  if (sent.ok) sent.value.body.discard();
+  return sent.ok;
+};
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -64,6 +64,9 @@
 /** A target that is silent for this fraction of the time of another one may be silent for the same reason. */
 const sharedSilenceFraction = 0.5;
 
+/** Runs of a request that end before it is sent and cost no retry; after them other daemons are asked to serve it. */
+const maxFreeUnsentRuns = 2;
+
 const deny = (denial: RunDenial): RunDecision => ({ kind: 'denied', denial });
 
 /** Creates the allowance of a request that has not run yet. */
@@ -72,10 +75,16 @@
   context: RequestContext,
   options: RunAllowanceOptions,
 ): RunAllowance => {
-  const { clock } = dependencies;
+  const { clock, targetReach } = dependencies;
   const { route, service, deadlineAtMs } = context;
   const retryBudget = dependencies.retryBudgets.of(service.name);
+  const maxTargets = Math.min(
+    route.maxTargets,
+    context.request.handover?.remainingRuns ?? route.maxTargets,
+  );
   const tried = new Set<string>();
+  /** Number of runs that ended before the request was sent. */
+  let unsentCount = 0;
   let notRunCount = 0;
   let rejectionCount = 0;
   let failedRunCount = 0;
@@ -91,13 +100,26 @@
 
   const findRetryDenial = (): RunDenial | undefined => {
     if (runCount() > 0 && !options.isRepeatable) return { reason: 'not-repeatable' };
-    if (runCount() >= route.maxTargets) return { reason: 'too-many-runs' };
+    if (runCount() >= maxTargets) return { reason: 'too-many-runs' };
     if (rejectionCount > options.maxRejections) return { reason: 'too-many-rejections' };
     return undefined;
   };
 
-  const listUntried = (nowMs: number) =>
-    options.listCandidates(nowMs).filter(({ key }) => !tried.has(key));
+  const isUntried = ({ key }: Candidate) => !tried.has(key);
+
+  /** Returns the targets; while this daemon reaches none of them, the daemons that do. */
+  const listUntried = (nowMs: number) => {
+    const helpers = context.request.handover ? [] : targetReach.helpersOf(service.name);
+    return (helpers.length > 0 ? helpers : options.listCandidates(nowMs)).filter(isUntried);
+  };
+
+  /** Returns daemons that reach the targets, for a request that has failed to reach any. */
+  const findHelpers = async (): Promise<readonly Candidate[]> => {
+    if (context.request.handover || unsentCount === 0) return [];
+    const isReachLost =
+      unsentCount >= maxFreeUnsentRuns || listUntried(clock.monotonicMs()).length === 0;
+    return isReachLost ? (await targetReach.findHelpers(service)).filter(isUntried) : [];
+  };
 
   /** Returns why the request may not be sent at all now. */
   const findDenial = (nowMs: number, isRetry: boolean): RunDenial | undefined => {
@@ -111,24 +133,28 @@
 
   /** Starts a run on a target, as a retry if the retry budget allows it. */
   const start = (candidate: Candidate, nowMs: number, isHedge: boolean): RunDecision => {
-    const isRetry = tried.size > 0;
+    const isRetry = tried.size > Math.min(unsentCount, maxFreeUnsentRuns);
     if (isRetry) {
       const { key: targetId, expectedMs } = candidate;
       const retry = { targetId, triedIds: tried, deadlineAtMs, expectedMs, isOptional: isHedge };
       const decision = retryBudget.tryRetry(retry, nowMs);
       if (decision.kind === 'denied') return deny({ reason: decision.reason });
     }
+    const chosen = candidate.isDaemon
+      ? { ...candidate, remainingRuns: maxTargets - runCount() }
+      : candidate;
     tried.add(candidate.key);
-    return { kind: 'allowed', candidate, isRetry };
+    return { kind: 'allowed', candidate: chosen, isRetry };
   };
 
   const next = async (): Promise<RunDecision> => {
     const isRetry = tried.size > 0;
     const denial = findDenial(clock.monotonicMs(), isRetry);
     if (denial !== undefined) return deny(denial);
+    const helpers = await findHelpers();
     const needsFreeSlot = options.needsFreeSlot && !isRetry;
     const selection = await selectTarget(dependencies, context, {
-      listCandidates: listUntried,
+      listCandidates: (nowMs) => (helpers.length > 0 ? helpers : listUntried(nowMs)),
       needsFreeSlot,
       isRetry,
     });
@@ -158,6 +184,7 @@
       if (ran === 'unknown') failedRunCount += 1;
       else notRunCount += 1;
       if (wasRejected) rejectionCount += 1;
+      else if (ran === 'not-run') unsentCount += 1;
     },
     failedRunCount: () => failedRunCount,
     triedCount: () => tried.size,
--- a/packages/relay/src/sendToTarget.test.ts
+++ b/packages/relay/src/sendToTarget.test.ts
@@ -21,6 +21,7 @@
     client,
     clock: { monotonicMs: () => 0 },
     targetWire: { requestHeaders: () => [] },
+    targetTracker: { onUnreached: () => {} },
   } as unknown as RelayDependencies;
   const context = {
     request: { url: '/', method: 'GET' },
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -42,11 +42,14 @@
 
 type ClientResult = errors.Result<targetClient.TargetResponse, targetClient.TargetFailure>;
 
+/** Statuses with which a daemon that serves a request for another one confirms that it has not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 const toSendResult = (
   dependencies: RelayDependencies,
   context: RequestContext,
   sent: ClientResult,
-  signal: AbortSignal,
+  { candidate, signal }: SendOptions,
 ): SendResult => {
   if (!sent.ok) {
     const { ran, message } = sent.error;
@@ -63,15 +66,40 @@
     const message = `the target answered request ${metadata.requestId ?? 'without id'} instead`;
     return failed({ ran: 'unknown', message, wasRejected: false });
   }
-  if (metadata.confirmsNotRun) {
+  const isRefusedByDaemon = candidate.isDaemon && notRunStatuses.has(answer.statusCode);
+  if (metadata.confirmsNotRun || isRefusedByDaemon) {
     answer.body.discard();
-    const message = `the target refused with status ${answer.statusCode}`;
+    const message = `the ${candidate.isDaemon ? 'daemon' : 'target'} refused with status ${answer.statusCode}`;
     const { faultyTargetId } = metadata;
     return failed({ ran: 'not-run', message, wasRejected: true, faultyTargetId });
   }
   return { kind: 'answer', matched: { answer, metadata } };
 };
 
+const recordReach = (
+  { clock, targetTracker }: RelayDependencies,
+  { candidate, signal }: SendOptions,
+  sent: ClientResult,
+) => {
+  if (sent.ok) targetTracker.onProgress(candidate.key, clock.monotonicMs());
+  else if (!signal.aborted) targetTracker.onUnreached(candidate.key, clock.monotonicMs());
+};
+
+const headersFor = (
+  { targetWire, callerWire }: RelayDependencies,
+  { request, customerName, route }: RequestContext,
+  { candidate, resumeAfterEventId }: SendOptions,
+  remainingMs: number,
+): readonly string[] => {
+  if (!candidate.isDaemon) {
+    const { targetId } = candidate;
+    const dispatch = { targetId, customerName, remainingMs, resumeAfterEventId };
+    return targetWire.requestHeaders(request, dispatch);
+  }
+  const { remainingRuns = route.maxTargets } = candidate;
+  return callerWire.handoverHeaders(request, { remainingMs, remainingRuns, resumeAfterEventId });
+};
+
 const recordLimit = (
   { targetWire, targetLimits }: RelayDependencies,
   targetKey: string,
@@ -87,8 +115,9 @@
 export const sendToTarget = async (
   dependencies: RelayDependencies,
   context: RequestContext,
-  { candidate, resumeAfterEventId, signal, onWrite }: SendOptions,
+  options: SendOptions,
 ): Promise<SendResult> => {
+  const { candidate, signal, onWrite } = options;
   const { request } = context;
   const remainingMs = Math.floor(context.deadlineAtMs - dependencies.clock.monotonicMs());
   const client = isRepeatable(context.route) ? dependencies.client : dependencies.singleUseClient;
@@ -97,12 +126,7 @@
     url: `http://${candidate.address}`,
     path: request.url,
     method: request.method,
-    headers: dependencies.targetWire.requestHeaders(request, {
-      targetId: candidate.targetId,
-      customerName: context.customerName,
-      remainingMs: Math.max(1, remainingMs),
-      resumeAfterEventId,
-    }),
+    headers: headersFor(dependencies, context, options, Math.max(1, remainingMs)),
     body: context.body,
     signal,
     mayWrite: () => {
@@ -111,7 +135,10 @@
       return isAuthorized;
     },
   });
-  const result = toSendResult(dependencies, context, sent, signal);
-  if (sent.ok) recordLimit(dependencies, candidate.key, sent.value, sentAtMs);
+  const result = toSendResult(dependencies, context, sent, options);
+  recordReach(dependencies, options, sent);
+  if (sent.ok && !candidate.isDaemon) {
+    recordLimit(dependencies, candidate.key, sent.value, sentAtMs);
+  }
   return result;
 };
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -120,7 +120,8 @@
     isStillAuthorized: createKeyCheck(dependencies, request, customerName !== undefined),
   };
   dependencies.metrics.requests.add({ route: route.name });
-  dependencies.retryBudgets.of(service.name).onFirstAttempt();
+  // A request that was handed over has been counted by the daemon that received it.
+  if (request.handover === undefined) dependencies.retryBudgets.of(service.name).onFirstAttempt();
   const result =
     route.kind === 'stream'
       ? await serveStream(dependencies, context)
@@ -185,6 +186,7 @@
       listAgeMs: Math.round(listAgeMs),
       ...toLogFields(result),
       ...(isCutOff ? { isCutOff } : {}),
+      ...(request.handover === undefined ? {} : { isHandedOver: true }),
     },
     'request ended',
   );
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -26,6 +26,10 @@
   readonly fleetRetryReserve?: number;
   readonly otherLoads?: () => Readonly<Record<string, number>>;
   readonly clock?: clocks.Clock;
+  /** The network of daemons that the relay joins under `name`. */
+  readonly network?: testing.FakeNetwork;
+  readonly name?: string;
+  readonly peerAddresses?: () => readonly string[];
 }
 
 export interface TestRelay {
@@ -112,6 +116,7 @@
     const url = message.url ?? '/';
     const limit = message.headers['x-limit-ms'];
     const last = message.headers['last-event-id'];
+    const runs = message.headers['x-handover'];
     return {
       requestId: String(message.headers['x-id']),
       method: message.method ?? 'GET',
@@ -121,7 +126,7 @@
       headers: relay.endToEndHeaders(
         message.rawHeaders,
         message.headers.connection,
-        new Set(['x-key', 'content-length', 'last-event-id']),
+        new Set(['x-key', 'content-length', 'last-event-id', 'x-handover', 'x-limit-ms']),
       ),
       key: message.headers['x-key'] as string | undefined,
       timeLimitMs: limit === undefined ? undefined : Number(limit),
@@ -130,11 +135,24 @@
         .split(',')
         .filter((id) => id !== ''),
       lastEventId: last === undefined ? undefined : Number(last),
+      handover: runs === undefined ? undefined : { remainingRuns: Number(runs) },
     };
   },
+  handoverHeaders: ({ headers, key }, { remainingMs, remainingRuns, resumeAfterEventId }) => [
+    ...headers,
+    'x-limit-ms',
+    String(remainingMs),
+    'x-handover',
+    String(remainingRuns),
+    ...(key === undefined ? [] : ['x-key', key]),
+    ...(resumeAfterEventId === undefined ? [] : ['last-event-id', String(resumeAfterEventId)]),
+  ],
   responseHeaders: ({ requestId }) => ({ 'x-id': requestId ?? '' }),
 };
 
+/** Targets answer probes even while the listener of a test is silent. */
+const probePath = '/probe';
+
 const targetWire: relay.TargetWire = {
   requestHeaders: ({ headers, lastEventId }, dispatch) => [
     ...headers,
@@ -147,6 +165,7 @@
       ? []
       : ['last-event-id', String(dispatch.resumeAfterEventId ?? lastEventId)]),
   ],
+  probeRequest: () => ({ path: probePath, headers: {} }),
   decodeResponse: (_statusCode, headers) => ({
     requestId: headers['x-id'] as string | undefined,
     confirmsNotRun: headers['x-not-run'] !== undefined,
@@ -181,7 +200,10 @@
   const servers = new Map<string, http.Server>();
   const targets = new Map<string, fleet.Target>();
   for (const [index, { id, listener }] of options.targets.entries()) {
-    const { server, port } = await listen(listener);
+    const { server, port } = await listen((request, response) => {
+      if (request.url === probePath) response.end();
+      else listener(request, response);
+    });
     servers.set(id, server);
     targets.set(id, {
       id,
@@ -202,6 +224,8 @@
   const ageMs = options.planAgeMs ?? (() => 0);
   const suspected: string[] = [];
   const port = await findFreePort();
+  const { network = testing.createFakeNetwork(), name = 'test' } = options;
+  const calls = network.join(name);
   const created = relay.createRelay({
     host: '127.0.0.1',
     port,
@@ -246,7 +270,7 @@
       confirmLoss: async () => ({ isLost: options.confirmLoss?.() ?? false, endedMembers: [] }),
     },
     crashes: {
-      calls: testing.createFakeNetwork().join('test'),
+      calls,
       runId: 'test',
       peerAddresses: () => [],
       checkInSoon: () => {},
@@ -255,11 +279,12 @@
       isHolder: () => false,
     },
     limits: {
-      calls: testing.createFakeNetwork().join('test'),
+      calls,
       runId: 'test',
       scheduler: () => ({ kind: 'self' }),
       checkInSoon: () => {},
     },
+    reach: { calls, peerAddresses: options.peerAddresses ?? (() => []) },
   });
   await created.component.start?.();
   return {
--- a/packages/relay/src/testing/simulateChoices.ts
+++ b/packages/relay/src/testing/simulateChoices.ts
@@ -122,6 +122,8 @@
       responseMs: undefined,
       failureRate: 0,
       avoidUntilMs: -Infinity,
+      lastProgressAtMs: -Infinity,
+      unreachedAtMs: -Infinity,
     },
   });
 
