Daemons: go on with a graceful shutdown when SIGTERM comes again

Cause: the signal handlers were removed by the first signal, so the second one ended the process at once. Change: the handlers stay; only the first signal starts the shutdown.

--- a/apps/comfreydrumd/src/relay/runRelayDaemon.ts
+++ b/apps/comfreydrumd/src/relay/runRelayDaemon.ts
@@ -84,18 +84,21 @@
   // finishes its requests.
   daemonLifecycle.register(container.resolve(relayTokens.lease).component);
 
+  let isStopping = false;
   const stop = async (signal: string) => {
-    log.info({ step: 'stop', signal }, 'stopping');
+    log.info({ step: 'stop', signal }, isStopping ? 'stopping already' : 'stopping');
+    if (isStopping) return;
+    isStopping = true;
     relay.drain();
     await daemonLifecycle.stop();
     log.info({ step: 'stop' }, 'stopped');
     buffered.flush();
     process.exit(0);
   };
-  process.once('SIGTERM', () => {
+  process.on('SIGTERM', () => {
     void stop('SIGTERM');
   });
-  process.once('SIGINT', () => {
+  process.on('SIGINT', () => {
     void stop('SIGINT');
   });
   process.on('SIGHUP', () => {
--- a/apps/comfreydrumd/src/runDaemon.ts
+++ b/apps/comfreydrumd/src/runDaemon.ts
@@ -24,8 +24,11 @@
   daemonLifecycle.register(container.resolve(tokens.admin));
   daemonLifecycle.register(container.resolve(tokens.gateway).component);
 
+  let isStopping = false;
   const stop = async (signal: string) => {
-    log.info({ step: 'stop', signal }, 'stopping');
+    log.info({ step: 'stop', signal }, isStopping ? 'stopping already' : 'stopping');
+    if (isStopping) return;
+    isStopping = true;
     await daemonLifecycle.stop();
     log.info({ step: 'stop' }, 'stopped');
     process.exit(0);
@@ -33,8 +36,8 @@
   const onSignal = (signal: string) => {
     void stop(signal);
   };
-  process.once('SIGTERM', onSignal);
-  process.once('SIGINT', onSignal);
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
 
   await daemonLifecycle.start();
   timeline.record('daemon started');
