Handover: doubt only a cut of this daemon's own links, and count the runs of the other daemon

Cause: a daemon that had heard of a target a second ago counted as reaching it, longer than the silence that raises doubt; own probes ended before those of others, so that the end of a silence looked like a cut; and the runs that another daemon may start were counted as one. Change: heard within 0.2 s counts; own probes come last; a handover uses up all the runs that it allows, and leaves this daemon one; a refusal to a daemon says that the request has not run. A draining daemon helps where no other one can.

--- a/packages/relay/src/reach/createTargetReach.ts
+++ b/packages/relay/src/reach/createTargetReach.ts
@@ -67,15 +67,20 @@
 const checkIntervalMs = 500;
 /** Targets that are probed in a check. */
 const maxProbes = 3;
-/** A daemon that has heard of a target within this time reaches it. */
-const heardValidityMs = 1_000;
+/** A daemon that has heard of a target within this time reaches it; shorter than the silence that raises doubt. */
+const heardValidityMs = 200;
 const helpersValidityMs = 1_000;
 /** Slots of another daemon, which limits its load itself. */
 const helperSlots = 10_000;
 const helperExpectedMs = 100;
 
 const requestSchema = zod.object({ serviceName: zod.string() });
-const helperSchema = zod.object({ callerAddress: zod.string(), failureDomain: zod.string() });
+const helperSchema = zod.object({
+  callerAddress: zod.string(),
+  failureDomain: zod.string(),
+  /** A draining daemon helps only where no other one can. */
+  isDraining: zod.boolean(),
+});
 const responseSchema = zod.object({ helper: helperSchema.optional() });
 type Helper = Readonly<zod.infer<typeof helperSchema>>;
 
@@ -112,6 +117,11 @@
     return checked.data?.helper === undefined ? [] : [checked.data.helper];
   };
 
+  const preferredHelpers = (helpers: readonly Helper[]): readonly Helper[] => {
+    const lasting = helpers.filter(({ isDraining }) => !isDraining);
+    return lasting.length > 0 ? lasting : helpers;
+  };
+
   /** Asks some daemons whether they reach the targets of a service; joins a query in progress. */
   const queryHelpers = (serviceName: string): Promise<void> => {
     const { query } = stateOf(serviceName);
@@ -120,7 +130,11 @@
     const started = Promise.all(addresses.map((address) => askPeer(address, serviceName))).then(
       (answers) => {
         const helpersAtMs = clock.monotonicMs();
-        update(serviceName, { helpers: answers.flat(), helpersAtMs, query: undefined });
+        update(serviceName, {
+          helpers: preferredHelpers(answers.flat()),
+          helpersAtMs,
+          query: undefined,
+        });
       },
     );
     update(serviceName, { query: started });
@@ -158,10 +172,9 @@
 
   const check = async (service: fleet.Service) => {
     update(service.name, { isChecking: true });
-    const [{ probedCount, answeredCount }] = await Promise.all([
-      probeSome(service),
-      queryHelpers(service.name),
-    ]);
+    await queryHelpers(service.name);
+    // Own probes come last, so that the end of a silence of all targets is not taken for a cut of this daemon.
+    const { probedCount, answeredCount } = await probeSome(service);
     const { isCutOff, helpers } = stateOf(service.name);
     if (!isCutOff) setCutOff(service, answeredCount === 0 && helpers.length > 0);
     else if (probedCount > 0 && answeredCount > probedCount / 2) setCutOff(service, false);
@@ -188,10 +201,11 @@
     if (!checked.success) throw new Error('params: expected serviceName');
     const { serviceName } = checked.data;
     const service = options.services().find(({ name }) => name === serviceName);
-    if (service === undefined || options.isDraining() || stateOf(serviceName).isCutOff) return {};
+    if (service === undefined || stateOf(serviceName).isCutOff) return {};
     const { callerAddress, failureDomain } = options;
     const isReached = hasHeardLately(service) || (await probeSome(service)).answeredCount > 0;
-    return isReached ? { helper: { callerAddress, failureDomain } } : {};
+    if (!isReached) return {};
+    return { helper: { callerAddress, failureDomain, isDraining: options.isDraining() } };
   });
 
   return {
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -42,7 +42,11 @@
    */
   readonly hedge: (nowMs: number, silentMs: number) => RunDecision;
   /** Records a run that the target has rejected, or that the target may have executed and failed. */
-  readonly onFailure: (ran: 'not-run' | 'unknown', wasRejected: boolean) => void;
+  readonly onFailure: (
+    candidate: Candidate,
+    ran: 'not-run' | 'unknown',
+    wasRejected: boolean,
+  ) => void;
   /** Returns the number of failed runs that a target may have executed. */
   readonly failedRunCount: () => number;
   readonly triedCount: () => number;
@@ -67,6 +71,9 @@
 /** Runs of a request that end before it is sent and cost no retry; after them other daemons are asked to serve it. */
 const maxFreeUnsentRuns = 2;
 
+/** Returns the number of targets that may run a request that is sent to a candidate. */
+const runsOf = ({ remainingRuns = 1 }: Candidate): number => remainingRuns;
+
 const deny = (denial: RunDenial): RunDecision => ({ kind: 'denied', denial });
 
 /** Creates the allowance of a request that has not run yet. */
@@ -85,12 +92,16 @@
   const tried = new Set<string>();
   /** Number of runs that ended before the request was sent. */
   let unsentCount = 0;
+  let startedRunCount = 0;
   let notRunCount = 0;
   let rejectionCount = 0;
   let failedRunCount = 0;
 
-  /** Number of runs that a target may have executed, including those in progress. */
-  const runCount = () => tried.size - notRunCount;
+  /** Number of runs that targets may have executed, including those in progress and all that other daemons may start. */
+  const runCount = () => startedRunCount - notRunCount;
+
+  /** Leaves this daemon a run, in case the other one fails. */
+  const handoverRuns = () => Math.max(1, maxTargets - runCount() - 1);
 
   const canHedge = (candidate: Candidate, nowMs: number, silentMs: number): boolean => {
     const { silentSinceMs = nowMs } = candidate.stats;
@@ -140,9 +151,8 @@
       const decision = retryBudget.tryRetry(retry, nowMs);
       if (decision.kind === 'denied') return deny({ reason: decision.reason });
     }
-    const chosen = candidate.isDaemon
-      ? { ...candidate, remainingRuns: maxTargets - runCount() }
-      : candidate;
+    const chosen = candidate.isDaemon ? { ...candidate, remainingRuns: handoverRuns() } : candidate;
+    startedRunCount += runsOf(chosen);
     tried.add(candidate.key);
     return { kind: 'allowed', candidate: chosen, isRetry };
   };
@@ -180,9 +190,9 @@
   return {
     next,
     hedge,
-    onFailure: (ran, wasRejected) => {
+    onFailure: (candidate, ran, wasRejected) => {
       if (ran === 'unknown') failedRunCount += 1;
-      else notRunCount += 1;
+      else notRunCount += runsOf(candidate);
       if (wasRejected) rejectionCount += 1;
       else if (ran === 'not-run') unsentCount += 1;
     },
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -42,9 +42,6 @@
 
 type ClientResult = errors.Result<targetClient.TargetResponse, targetClient.TargetFailure>;
 
-/** Statuses with which a daemon that serves a request for another one confirms that it has not run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 const toSendResult = (
   dependencies: RelayDependencies,
   context: RequestContext,
@@ -66,8 +63,7 @@
     const message = `the target answered request ${metadata.requestId ?? 'without id'} instead`;
     return failed({ ran: 'unknown', message, wasRejected: false });
   }
-  const isRefusedByDaemon = candidate.isDaemon && notRunStatuses.has(answer.statusCode);
-  if (metadata.confirmsNotRun || isRefusedByDaemon) {
+  if (metadata.confirmsNotRun) {
     answer.body.discard();
     const message = `the ${candidate.isDaemon ? 'daemon' : 'target'} refused with status ${answer.statusCode}`;
     const { faultyTargetId } = metadata;
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -139,7 +139,7 @@
     if (failed.answer !== undefined && failed.answer.statusCode !== 503) {
       failedAnswer = failed.answer;
     }
-    allowance.onFailure(failure.ran, failure.wasRejected);
+    allowance.onFailure(candidate, failure.ran, failure.wasRejected);
     log.info(
       {
         requestId: request.requestId,
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -168,7 +168,7 @@
   const isCutOff = result.kind === 'refused' && response.headersSent;
   if (result.kind === 'refused') {
     if (isCutOff) dependencies.metrics.cutOffResponses.add({ cause: result.refusal.cause });
-    writeRefusal(response, result.refusal, callerWire.responseHeaders(request));
+    writeRefusal(response, result.refusal, callerWire.responseHeaders(request, result.refusal.ran));
   }
   const plan = dependencies.plan.current();
   const sharedPartIds = sharedPartIdsOf(request).slice(0, maxLoggedParts);
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -131,7 +131,7 @@
 
   const recordFailure = (candidate: Candidate, { failure, sentAtMs }: FailedRun) => {
     message = `target ${candidate.targetId}: ${failure.message}`;
-    allowance.onFailure(failure.ran, failure.wasRejected);
+    allowance.onFailure(candidate, failure.ran, failure.wasRejected);
     if (failure.wasRejected) {
       targetTracker.avoid(candidate.key, clock.monotonicMs() + avoidFullMs);
     }
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -147,7 +147,10 @@
     ...(key === undefined ? [] : ['x-key', key]),
     ...(resumeAfterEventId === undefined ? [] : ['last-event-id', String(resumeAfterEventId)]),
   ],
-  responseHeaders: ({ requestId }) => ({ 'x-id': requestId ?? '' }),
+  responseHeaders: ({ requestId, handover }, ran) => ({
+    'x-id': requestId ?? '',
+    ...(handover !== undefined && ran === 'not-run' ? { 'x-not-run': '1' } : {}),
+  }),
 };
 
 /** Targets answer probes even while the listener of a test is silent. */
