Crash monitor: count requests that complete by way of another daemon

Suspected, not shown: a daemon whose workers crash together hands requests over, and those that complete had no time at which they were sent, so they did not count as evidence that a part of their prompts is sound, which a verdict on another part needs. Change: the time is recorded for them too. No test fails before and passes after this change alone.

--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -237,11 +237,11 @@
   return {
     check,
     onDispatch: (run) => {
-      // The daemon that serves the request records its targets.
-      if (run.candidate.isDaemon) return;
       const { runId, fingerprint, sharedPartIds, candidate } = run;
       const nowMs = clock.monotonicMs();
       sentAtMs.set(run, nowMs);
+      // The daemon that serves the request records on which targets it runs.
+      if (candidate.isDaemon) return;
       quarantine.onDispatch(runId, fingerprint, crashTargetOf(candidate), nowMs, sharedPartIds);
     },
     onEnd: async (run, end) => {
