Relay: send no request on whose caller has hung up while the daemon was held up

What callers saw: nothing; workers ran requests that no one waited for. Cause: a daemon that was held up (stopped, or short of processor time) reads a request and sends it on in the same event loop iteration. The end of the connection, which the kernel has received too, is only read in the next one, and Node reports it some iterations later still. Change: once a request is read, all connections are polled anew before it is sent on (pollConnections), and the end of the caller's side of the connection counts at once (watchCaller).

--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -4,6 +4,7 @@
 import type { CallerRequest } from './CallerRequest';
 import { chooseService } from './chooseService';
 import { fingerprintRequest } from './crashes/fingerprintRequest';
+import { pollConnections } from './pollConnections';
 import { readBody } from './readBody';
 import { createNotRunRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
@@ -12,6 +13,7 @@
 import type { ServeResult } from './ServeResult';
 import { serveStream } from './serveStream';
 import { sharedPartIdsOf } from './sharedPartIdsOf';
+import { watchCaller } from './watchCaller';
 import { writeRefusal } from './writeRefusal';
 
 /** Maximum age of the plan for a denial of an unknown route; an older plan is refreshed first. */
@@ -88,16 +90,15 @@
   response: http.ServerResponse,
 ): Promise<FingerprintedResult> => {
   const arrivedAtMs = dependencies.clock.monotonicMs();
-  const disconnect = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) disconnect.abort(new Error('the caller closed the connection'));
-  });
+  const callerDisconnected = watchCaller(message, response);
   const admission = await admit(dependencies, request);
   if (admission.kind === 'ended') return admission.result;
   const { route, customerName } = admission;
   const plan = dependencies.plan.current()!;
   const body = await readBody(message, plan.limits);
   if (body.kind !== 'body') return body;
+  await pollConnections();
+  if (callerDisconnected.aborted) return { kind: 'caller-gone' };
   const service = chooseService(plan, route, dependencies.random());
   if (service === undefined) {
     const text = `route ${route.name} names no service of revision ${plan.revision}`;
@@ -116,7 +117,7 @@
     response,
     arrivedAtMs,
     deadlineAtMs: arrivedAtMs + timeLimitMs,
-    callerDisconnected: disconnect.signal,
+    callerDisconnected,
     isStillAuthorized: createKeyCheck(dependencies, request, customerName !== undefined),
   };
   dependencies.metrics.requests.add({ route: route.name });
