Tests of daemons: own loopback addresses for each process

All soaks and test files used the same addresses, so a port that a stopped daemon or a crashed worker was to use again could be given to another process, and outgoing connections of all took their ports on the address of the stand-ins.

--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -50,6 +50,7 @@
   testNames,
   type TestConfigurationOptions,
 } from './fleet/createConfiguration';
+export { createIpAllocator, type IpAllocator } from './fleet/createIpAllocator';
 export { createFleet, type ApplyResponse, type Fleet } from './fleet/createFleet';
 export type { FleetDaemon } from './fleet/createFleetDaemon';
 export type { FleetPlatform } from './fleet/createFleetPlatform';
