Formation: groups of another model from what a fabric domain leaves over

Cause: a domain served one model, so that 5 of 11 were left over beside a group of 6, and the choice of its model was made while targets were still registering, by domains of two or three. Change: what the groups of a domain's model leave over, but for two spares, forms groups of another model (findSecondaryModel, planDomain), which counts when models are assigned. Until registration settles (createRegistrationWatch), only the model with the largest groups loads weights, and domains without weights are assigned anew. Groups come before spares while loads are cheap.

--- a/packages/formation/src/assignModels.ts
+++ b/packages/formation/src/assignModels.ts
@@ -1,4 +1,5 @@
 import type * as fleet from '@comfreydrum/fleet';
+import { findSecondaryModel } from './findSecondaryModel';
 
 /** A fabric domain whose targets can form groups. */
 export interface FabricDomain {
@@ -41,7 +42,8 @@
  * form a group without loading weights. A domain keeps the model that most of its targets hold. Every other
  * domain gets the model with the least capacity relative to its demand, compared first within the failure
  * domain. Domains register one after another, so the assignment in `before` is kept until targets hold other
- * weights. A model without a domain takes one over from a model that has several.
+ * weights. Groups that fit into the rest of a domain count for their model too. A model that gets no group takes a
+ * domain over from a model that has several.
  */
 export const assignModels = (
   domains: readonly FabricDomain[],
@@ -58,14 +60,19 @@
   // Targets register over several seconds; the largest domain is an estimate of the final size of the others.
   const usualCount = Math.max(0, ...domains.map(({ targets }) => targets.length));
 
+  /** Returns the capacity for a model of a domain to which another model may be assigned. */
+  const capacityIn = (domain: FabricDomain, model: fleet.ServedModel): number => {
+    const main = assigned.get(domain.name);
+    if (main === undefined) return 0;
+    if (main === model) return capacityOf(usualCount, model);
+    const secondary = findSecondaryModel(usualCount, main, models);
+    return secondary?.model === model ? secondary.count / model.paceFactor : 0;
+  };
+
   const capacity = (model: fleet.ServedModel, failureDomain: string | undefined) =>
     domains
-      .filter(
-        (domain) =>
-          assigned.get(domain.name) === model &&
-          (failureDomain === undefined || domain.failureDomain === failureDomain),
-      )
-      .reduce((sum) => sum + capacityOf(usualCount, model), 0) / model.demandShare;
+      .filter((domain) => failureDomain === undefined || domain.failureDomain === failureDomain)
+      .reduce((sum, domain) => sum + capacityIn(domain, model), 0) / model.demandShare;
 
   domains
     .filter(({ name }) => !assigned.has(name))
@@ -96,7 +103,12 @@
     if (donor !== undefined && chosen !== undefined) assigned.set(chosen, needy);
   };
 
-  models.filter((model) => countDomains(model) === 0).forEach(freeDomainFor);
+  const hasTargets = (model: fleet.ServedModel) =>
+    countDomains(model) > 0 ||
+    capacity(model, undefined) > 0 ||
+    domains.some((domain) => countWarm(domain, model.name) >= model.groupSize);
+
+  models.filter((model) => !hasTargets(model)).forEach(freeDomainFor);
 
   return new Map([...assigned].map(([name, model]) => [name, model.name]));
 };
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -11,6 +11,7 @@
 import { createLossDetector } from './createLossDetector';
 import { createMemberCheck, type UnresponsiveMember } from './createMemberCheck';
 import { createOrderTracker } from './createOrderTracker';
+import { createRegistrationWatch } from './createRegistrationWatch';
 import type { FormationStep } from './FormationStep';
 import { planFormation, type FormationInput } from './planFormation';
 import { summarizeFleet } from './summarizeFleet';
@@ -77,6 +78,7 @@
     ['order', 'outcome'],
   );
   const orderTracker = createOrderTracker(clock);
+  const registrationWatch = createRegistrationWatch(clock);
   const reportedAtMs = new Map<string, number>();
   const summarizedAtMs = new Map<string, number>();
   const modelsByService = new Map<string, ReadonlyMap<string, string>>();
@@ -224,9 +226,10 @@
     detector.tick(listed);
     current.services.forEach(({ name, engine }) => {
       if (engine === undefined) return;
+      const ofService = [...listed.values()].filter(({ serviceName }) => serviceName === name);
       const input: FormationInput = {
         engine,
-        targets: [...listed.values()].filter(({ serviceName }) => serviceName === name),
+        targets: ofService,
         isLost: detector.isLost,
         isSurelyLost: detector.isSurelyLost,
         isFinishing: orderTracker.isFinishing,
@@ -240,6 +243,7 @@
         stagingModelOf: orderTracker.stagingModelOf,
         modelByDomain: modelsByService.get(name) ?? new Map(),
         isBeforeTraffic: options.isBeforeTraffic(),
+        isRegistering: registrationWatch.observe(name, ofService.length),
       };
       const next = planFormation(input);
       modelsByService.set(name, next.modelByDomain);
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -1,6 +1,7 @@
 import * as fleet from '@comfreydrum/fleet';
 import { assignModels, type FabricDomain } from './assignModels';
 import type { FormationStep } from './FormationStep';
+import { planDomain, type StagingCandidate } from './planDomain';
 import { evaluateGroup, type GroupContext, type GroupCondition } from './evaluateGroup';
 
 /** The state of a service that its next steps are planned from. */
@@ -16,6 +17,8 @@
   readonly modelByDomain: ReadonlyMap<string, string>;
   /** Whether no caller has sent a request yet; until then loading weights is cheap. */
   readonly isBeforeTraffic: boolean;
+  /** Whether more targets are likely to register, so that the sizes of the fabric domains are not known yet. */
+  readonly isRegistering: boolean;
 }
 
 /** The next steps for a service, and the model assigned to each fabric domain. */
@@ -24,31 +27,9 @@
   readonly modelByDomain: ReadonlyMap<string, string>;
 }
 
-/** Where a target holds the weights of a model; the closer they are, the sooner it can join a group. */
-type Warmth = 'in-memory' | 'on-host' | 'cold';
-
-const warmthRank: Readonly<Record<Warmth, number>> = { 'in-memory': 0, 'on-host': 1, cold: 2 };
-
-/** A free target that could load the weights of a model onto its host. */
-interface StagingCandidate {
-  readonly target: fleet.Target;
-  readonly modelName: string;
-  /** Targets that still need the weights to complete a group; more than the group size for a spare. */
-  readonly missingCount: number;
-}
-
 /** Before traffic, joins may exceed the number of loads that run at full speed by this many. */
 const extraLoadsBeforeTraffic = 3;
 
-const warmthFor = (target: fleet.Target, modelName: string): Warmth => {
-  if (target.loadedModels.includes(modelName)) return 'in-memory';
-  return target.stagedModels.includes(modelName) ? 'on-host' : 'cold';
-};
-
-const compareByWarmth = (modelName: string) => (one: fleet.Target, other: fleet.Target) =>
-  warmthRank[warmthFor(one, modelName)] - warmthRank[warmthFor(other, modelName)] ||
-  one.id.localeCompare(other.id);
-
 const collectDomains = (targets: readonly fleet.Target[]): readonly FabricDomain[] => {
   const byName = new Map<string, fleet.Target[]>();
   targets.forEach((target) => {
@@ -65,6 +46,29 @@
     .sort((one, other) => one.name.localeCompare(other.name));
 };
 
+const largestOf = (models: readonly fleet.ServedModel[]): fleet.ServedModel | undefined =>
+  [...models].sort((one, other) => other.groupSize - one.groupSize)[0];
+
+/**
+ * Returns the models of the domains in which a target holds or loads weights. The others are assigned anew, as a domain
+ * may prove larger while its targets register.
+ */
+const startedAssignments = (
+  domains: readonly FabricDomain[],
+  input: FormationInput,
+): ReadonlyMap<string, string> => {
+  const hasStarted = (target: fleet.Target): boolean =>
+    target.stagedModels.length > 0 ||
+    target.loadedModels.length > 0 ||
+    target.membership !== undefined ||
+    input.hasPendingOrder(target) ||
+    input.stagingModelOf(target) !== undefined;
+  const startedNames = new Set(
+    domains.filter(({ targets }) => targets.some(hasStarted)).map(({ name }) => name),
+  );
+  return new Map([...input.modelByDomain].filter(([name]) => startedNames.has(name)));
+};
+
 /** Returns undefined for a group of an unknown model, which formation does not manage. */
 const evaluate = (group: fleet.Group, input: FormationInput): GroupCondition | undefined => {
   const model = input.engine.models.find(({ name }) => name === group.modelName);
@@ -107,25 +111,6 @@
     return [{ kind: 'close', group, head, mode, reason }];
   });
 
-/** Forms as many groups as possible from free targets, starting with those that can join soonest. */
-const formGroups = (
-  free: readonly fleet.Target[],
-  model: fleet.ServedModel,
-  tryReserveLoads: (count: number) => boolean,
-): { readonly steps: readonly FormationStep[]; readonly left: readonly fleet.Target[] } => {
-  const steps: FormationStep[] = [];
-  let left = [...free].sort(compareByWarmth(model.name));
-  while (left.length >= model.groupSize) {
-    const members = left.slice(0, model.groupSize);
-    const coldCount = members.filter((target) => warmthFor(target, model.name) === 'cold').length;
-    if (coldCount > 0 && !tryReserveLoads(coldCount)) break;
-    left = left.slice(model.groupSize);
-    const reason = `${model.groupSize - coldCount} of ${model.groupSize} hold the weights`;
-    steps.push({ kind: 'form', modelName: model.name, members, reason });
-  }
-  return { steps, left };
-};
-
 /**
  * Plans the next steps: opens groups that are ready, closes groups that lost a member, forms groups from
  * free targets that hold the weights, and stages weights where the fewest loads complete a group.
@@ -148,7 +133,7 @@
     (target) => !reservedKeys.has(fleet.runKeyOf(target)) && !input.hasPendingOrder(target),
   );
   const domains = collectDomains(usable);
-  const modelByDomain = assignModels(domains, engine.models, input.modelByDomain);
+  const modelByDomain = assignModels(domains, engine.models, startedAssignments(domains, input));
 
   const isLoading = (target: fleet.Target): boolean => {
     if (input.stagingModelOf(target) !== undefined) return true;
@@ -169,27 +154,20 @@
   domains.forEach((domain) => {
     const model = engine.models.find(({ name }) => name === modelByDomain.get(domain.name));
     if (model === undefined) return;
-    const freeInDomain = free.filter(({ fabricDomain }) => fabricDomain === domain.name);
-    const notStaging = freeInDomain.filter((target) => input.stagingModelOf(target) === undefined);
-    const formed = formGroups(notStaging, model, tryReserveLoads);
-    steps.push(...formed.steps);
-    const cold = formed.left.filter((target) => warmthFor(target, model.name) === 'cold');
-    const warmCount = formed.left.length - cold.length;
-    const missingCount = model.groupSize - warmCount - (freeInDomain.length - notStaging.length);
-    cold.forEach((target, index) =>
-      stagingCandidates.push({
-        target,
-        modelName: model.name,
-        missingCount: index < missingCount ? missingCount : model.groupSize + 1,
-      }),
-    );
+    if (input.isRegistering && input.isBeforeTraffic && model !== largestOf(engine.models)) return;
+    const planned = planDomain({
+      ...input,
+      domain,
+      model,
+      free: free.filter(({ fabricDomain }) => fabricDomain === domain.name),
+      tryReserveLoads,
+    });
+    steps.push(...planned.steps);
+    stagingCandidates.push(...planned.stagingCandidates);
   });
 
   stagingCandidates
-    .sort(
-      (one, other) =>
-        one.missingCount - other.missingCount || one.target.id.localeCompare(other.target.id),
-    )
+    .sort((one, other) => one.rank - other.rank || one.target.id.localeCompare(other.target.id))
     .slice(0, Math.max(0, engine.concurrentLoads - loadingCount))
     .forEach(({ target, modelName, missingCount }) =>
       steps.push({
--- a/packages/formation/src/testing/simulateController.ts
+++ b/packages/formation/src/testing/simulateController.ts
@@ -2,6 +2,7 @@
 import * as fleet from '@comfreydrum/fleet';
 import { toOrderResponse } from '../toOrderResponse';
 import { createOrderTracker } from '../createOrderTracker';
+import { createRegistrationWatch } from '../createRegistrationWatch';
 import type { FormationStep } from '../FormationStep';
 import { planFormation } from '../planFormation';
 import type { FakeFabric } from './createFakeFabric';
@@ -29,6 +30,7 @@
   const clock = clocks.createManualClock();
   const deadSinceMs = new Map<string, number>();
   const headIds = new Map<string, string>();
+  const registrationWatch = createRegistrationWatch(clock);
   let orderTracker = createOrderTracker(clock);
   let token = 1;
   let epochCount = 0;
@@ -118,6 +120,7 @@
       stagingModelOf: orderTracker.stagingModelOf,
       modelByDomain,
       isBeforeTraffic: !hasTraffic,
+      isRegistering: registrationWatch.observe('models', targets.length),
     });
     modelByDomain = plan.modelByDomain;
     plan.steps.forEach(executeStep);
