Quarantine of prompt parts: hold a part back while requests with it let no other one complete

Cause: a verdict needs two requests without the part that completed since its first loss. With five workers, a request with the part every 0.25 s crashed each new group before a sound stream of 0.18 s could complete, so that no daemon had seen any for seven seconds, though the part alone was suspected of seven losses, and other requests were lost beside it. Change: a part that leads the others is held back for 3 s when too few requests without it have completed, if such requests were lost beside it; callers get 503 with Retry-After, and after a hold only a new loss leads to the next one. The verdict itself needs what it needed.

--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -203,7 +203,9 @@
     const ofRequest = checkRequest(fingerprint);
     if (ofRequest.kind === 'quarantined') return ofRequest;
     const ofParts = parts.check(sharedPartIds);
-    if (ofParts.kind === 'quarantined') return { ...ofParts, subject: 'prompt-part' };
+    if (ofParts.kind === 'quarantined' || ofParts.kind === 'held') {
+      return { ...ofParts, kind: 'quarantined', subject: 'prompt-part' };
+    }
     return ofParts.kind === 'suspect' ? ofParts : ofRequest;
   };
 
--- a/packages/relay/src/crashes/createPartMonitor.ts
+++ b/packages/relay/src/crashes/createPartMonitor.ts
@@ -88,6 +88,7 @@
       const statuses = partIds.map(check);
       return (
         statuses.find(({ kind }) => kind === 'quarantined') ??
+        statuses.find(({ kind }) => kind === 'held') ??
         statuses.find(({ kind }) => kind === 'suspect') ?? { kind: 'clear' }
       );
     },
--- a/packages/routing/src/PartQuarantine.ts
+++ b/packages/routing/src/PartQuarantine.ts
@@ -11,12 +11,14 @@
  *
  * - `clear`: no request with the part was on a lost target, or others with it have completed since.
  * - `suspect`: the part was on a lost target.
+ * - `held`: the part seems to crash targets, and too few other requests have completed to tell. No request with it may
+ *   run for a short time, in which others can complete.
  * - `quarantined`: no request with the part may run.
  */
 export type PartStatus =
   | { readonly kind: 'clear' }
   | { readonly kind: 'suspect' }
-  | { readonly kind: 'quarantined'; readonly retryAfterMs: number };
+  | { readonly kind: 'held' | 'quarantined'; readonly retryAfterMs: number };
 
 /** Detects parts of prompts that crash the targets on which requests with them run. */
 export interface PartQuarantine {
--- a/packages/routing/src/createPartQuarantine.test.ts
+++ b/packages/routing/src/createPartQuarantine.test.ts
@@ -63,6 +63,27 @@
   assert.is(kindOf('document'), 'suspect');
 });
 
+test('holds a part while requests with it leave no other one the time to complete', () => {
+  const { lose, check, onLoss, onRequestCompleted } = createQuarantine();
+  // The parts of the other request have completed on the daemon that lost it.
+  for (let count = 0; count < 4; count += 1) lose(request('bad'), request());
+  const first = check('bad', settledMs);
+  assert.is(first.kind, 'held');
+  assert.ok(first.kind === 'held' && first.retryAfterMs > 0);
+  assert.is(check('bad', settledMs + 10_000).kind, 'suspect');
+  onLoss(lossOf([request('bad')]), settledMs + 11_000);
+  assert.is(check('bad', settledMs + 12_000).kind, 'held');
+  [1, 2].forEach(() => onRequestCompleted([], settledMs + 12_100));
+  assert.is(check('bad', settledMs + 12_200).kind, 'quarantined');
+});
+
+test('does not hold a part that others explain as well', () => {
+  const { lose, check } = createQuarantine();
+  for (let count = 0; count < 4; count += 1) lose(request('system', 'bad'));
+  assert.is(check('system', settledMs).kind, 'suspect');
+  assert.is(check('bad', settledMs).kind, 'suspect');
+});
+
 test('waits for completions on other daemons before it quarantines', () => {
   const { lose, check, onRequestCompleted } = createQuarantine();
   for (let count = 0; count < 6; count += 1) lose(request('bad'));
--- a/packages/routing/src/createPartQuarantine.ts
+++ b/packages/routing/src/createPartQuarantine.ts
@@ -18,10 +18,15 @@
  * when this many requests without it have completed since its first loss.
  */
 const minOtherCompletions = 2;
+/** A part is held back only for the sake of at least this many other requests that were lost beside it. */
+const minOtherLostRequests = 2;
+/** Within this time a group forms anew and completes a short stream, unless requests keep crashing its members. */
+const holdMs = 3_000;
 const maxCompletions = 64;
 const maxLosses = 512;
 const maxRequestsPerLoss = 256;
 const maxVerdicts = 1_000;
+const maxHolds = 1_000;
 const clearStatus: PartStatus = { kind: 'clear' };
 
 interface Completion {
@@ -35,6 +40,8 @@
   /** Parts that are known not to have caused this loss. */
   readonly clearedPartIds: Set<string>;
   readonly holders: Map<string, Set<string>>;
+  /** Fingerprints of all requests that were lost. */
+  readonly fingerprints: Set<string>;
   atMs: number;
 }
 
@@ -48,6 +55,8 @@
   const completions: Completion[] = [];
   /** Times until which parts are quarantined. */
   const verdicts = new Map<string, number>();
+  /** Times until which parts are held. */
+  const holds = new Map<string, number>();
 
   const unlink = (partId: string, loss: Loss) => {
     loss.holders.delete(partId);
@@ -84,6 +93,7 @@
       targetKey,
       atMs,
       holders: new Map(),
+      fingerprints: new Set(),
       clearedPartIds: new Set(),
     };
     losses.add(loss);
@@ -124,6 +134,28 @@
     if (verdicts.size > maxVerdicts) verdicts.delete(oldest!);
   };
 
+  const countOtherLostRequests = (partId: string): number => {
+    const suspected = suspectedLossesOf(partId);
+    const others = new Set(suspected.flatMap(({ fingerprints }) => [...fingerprints]));
+    suspected.forEach(({ holders }) =>
+      holders.get(partId)?.forEach((fingerprint) => others.delete(fingerprint)),
+    );
+    return others.size;
+  };
+
+  /** Holds a part back; after a hold, only if another target has been lost with the part since. */
+  const hold = (partId: string, nowMs: number): PartStatus => {
+    if (countOtherLostRequests(partId) < minOtherLostRequests) return { kind: 'suspect' };
+    const earlierMs = holds.get(partId) ?? -Infinity;
+    if (earlierMs > nowMs) return { kind: 'held', retryAfterMs: earlierMs - nowMs };
+    if (!suspectedLossesOf(partId).some(({ atMs }) => atMs > earlierMs)) return { kind: 'suspect' };
+    holds.delete(partId);
+    holds.set(partId, nowMs + holdMs);
+    const [oldest] = holds.keys();
+    if (holds.size > maxHolds) holds.delete(oldest!);
+    return { kind: 'held', retryAfterMs: holdMs };
+  };
+
   return {
     check: (partId, nowMs) => {
       const untilMs = verdicts.get(partId);
@@ -134,14 +166,18 @@
       if (nowMs - (firstLossAtMs(partId) ?? nowMs) >= lifetimeMs) dropOutdated(nowMs);
       const firstAtMs = firstLossAtMs(partId);
       if (firstAtMs === undefined) return clearStatus;
-      const isSettled = nowMs - firstAtMs >= settlingMs && haveOthersCompleted(partId, firstAtMs);
+      const isSettled = nowMs - firstAtMs >= settlingMs;
       if (!isSettled || !assessPart(partId, suspectedLossesOf)) return { kind: 'suspect' };
+      if (!haveOthersCompleted(partId, firstAtMs)) return hold(partId, nowMs);
       addVerdict(partId, nowMs + lifetimeMs);
       return { kind: 'quarantined', retryAfterMs: lifetimeMs };
     },
-    onLoss: ({ target, requestParts = [], ageMs }: LossUpdate, nowMs) => {
+    onLoss: ({ target, fingerprints, requestParts = [], ageMs }: LossUpdate, nowMs) => {
       if (requestParts.length === 0) return;
       const loss = recordLoss(target, nowMs - ageMs);
+      fingerprints
+        .slice(0, maxRequestsPerLoss)
+        .forEach((fingerprint) => loss.fingerprints.add(fingerprint));
       requestParts
         .slice(0, maxRequestsPerLoss)
         .forEach(({ fingerprint, partIds }) =>
