Graceful shutdown: accept the connections in the queue before the listener closes

Cause: the kernel resets the connections that a server has not accepted yet when it closes. Node accepts few in each iteration of its event loop, so that dozens wait there under load. Idle connections were also closed before what had arrived on them was read. Change: the listener closes only once an iteration has accepted none (createAcceptQueue); requests on connections that are accepted after the notice period get 503, not run, with Retry-After, at once. Connections are polled before idle ones are closed. The gateway of the stand-alone path accepts what waits before it closes too.

--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -112,6 +112,7 @@
       )
     : http.createServer(serverOptions, handler);
   server.maxConnections = limits.maxConnections;
+  const acceptQueue = lifecycle.createAcceptQueue(server);
   server.on('tlsClientError', telemetry.createTlsFailureCounter(dependencies.metrics, 'gateway'));
 
   const unsubscribeBroken = dependencies.groups.onBroken((groupId, generation, reason) => {
@@ -130,6 +131,7 @@
     isDraining = true;
     timeline.record('drain started', { text: `${openRequests} requests open` });
     await delay(dependencies.noticeMs);
+    await acceptQueue.drain(dependencies.drainTimeoutMs / 2);
     server.close();
     server.closeIdleConnections();
     const drainDeadlineMs = clock.monotonicMs() + dependencies.drainTimeoutMs;
--- a/packages/lifecycle/src/index.ts
+++ b/packages/lifecycle/src/index.ts
@@ -1,3 +1,5 @@
 export type { Lifecycle, Component } from './createLifecycle';
 export { createLifecycle } from './createLifecycle';
+export { createAcceptQueue, type AcceptQueue } from './createAcceptQueue';
 export { listen } from './listen';
+export { pollConnections } from './pollConnections';
--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -14,6 +14,7 @@
   | 'overload'
   | 'target-limits'
   | 'quarantined'
+  | 'shutting-down'
   | 'targets-refused'
   | 'target-failed'
   | 'timeout'
@@ -48,6 +49,13 @@
   message,
 });
 
+/** The other daemons take callers of one that is shutting down at once. */
+const shutdownRetryAfterMs = 50;
+
+/** Creates the refusal of a request that came after the daemon had stopped taking new connections. */
+export const createShutdownRefusal = (): Refusal =>
+  createNotRunRefusal('shutting-down', 'the daemon is shutting down', shutdownRetryAfterMs);
+
 const minLimitRetryAfterMs = 50;
 
 /** Creates the refusal of a request whose possible targets have all reached the limits that they name. */
--- a/packages/relay/src/createCallerListener.ts
+++ b/packages/relay/src/createCallerListener.ts
@@ -3,8 +3,10 @@
 import * as tinyhttp from '@tinyhttp/app';
 import * as errors from '@comfreydrum/errors';
 import * as lifecycle from '@comfreydrum/lifecycle';
+import { createShutdownRefusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import { serveRequest } from './serveRequest';
+import { writeRefusal } from './writeRefusal';
 
 /** The HTTP listener for callers. */
 export interface CallerListener {
@@ -40,13 +42,15 @@
   dependencies: RelayDependencies,
   options: CallerListenerOptions,
 ): CallerListener => {
-  const { clock, log, plan } = dependencies;
+  const { clock, log, plan, callerWire } = dependencies;
   let openRequestCount = 0;
   let isDraining = false;
   let hasReceivedRequest = false;
 
   /** Applies the idle timeout of the current plan; assigned once the server exists. */
   let applyIdleTimeout = () => {};
+  /** Assigned once the server exists. */
+  let acceptQueue: lifecycle.AcceptQueue;
 
   const app = new tinyhttp.App({
     settings: { xPoweredBy: false },
@@ -59,6 +63,12 @@
         openRequestCount -= 1;
       });
       if (isDraining) response.setHeader('connection', 'close');
+      if (acceptQueue.isLate(request.socket)) {
+        const refusal = createShutdownRefusal();
+        const callerRequest = callerWire.readRequest(request);
+        writeRefusal(response, refusal, callerWire.responseHeaders(callerRequest, refusal.ran));
+        return;
+      }
       applyIdleTimeout();
       void serveRequest(dependencies, request, response);
     },
@@ -72,6 +82,8 @@
     app.handler.bind(app) as unknown as http.RequestListener,
   );
 
+  acceptQueue = lifecycle.createAcceptQueue(server);
+
   applyIdleTimeout = () => {
     const { idleTimeoutMs = defaultIdleTimeoutMs } = plan.current()?.limits ?? {};
     server.keepAliveTimeout = idleTimeoutMs + keepAliveMarginMs;
@@ -95,9 +107,11 @@
         const startedAtMs = clock.monotonicMs();
         await delay(options.noticeMs);
         const drainDeadlineMs = startedAtMs + options.noticeMs + options.drainTimeoutMs;
+        await acceptQueue.drain(options.drainTimeoutMs / 2);
         server.close();
         let idleSinceMs = clock.monotonicMs();
         while (clock.monotonicMs() < drainDeadlineMs) {
+          await lifecycle.pollConnections();
           server.closeIdleConnections();
           const nowMs = clock.monotonicMs();
           if (openRequestCount > 0) idleSinceMs = nowMs;
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -1,10 +1,10 @@
 import type * as http from 'node:http';
 import * as errors from '@comfreydrum/errors';
 import * as fleet from '@comfreydrum/fleet';
+import * as lifecycle from '@comfreydrum/lifecycle';
 import type { CallerRequest } from './CallerRequest';
 import { chooseService } from './chooseService';
 import { fingerprintRequest } from './crashes/fingerprintRequest';
-import { pollConnections } from './pollConnections';
 import { readBody } from './readBody';
 import { createNotRunRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
@@ -97,7 +97,7 @@
   const plan = dependencies.plan.current()!;
   const body = await readBody(message, plan.limits);
   if (body.kind !== 'body') return body;
-  await pollConnections();
+  await lifecycle.pollConnections();
   if (callerDisconnected.aborted) return { kind: 'caller-gone' };
   const service = chooseService(plan, route, dependencies.random());
   if (service === undefined) {
