--- a/packages/formation/src/mixedDomains.test.ts
+++ b/packages/formation/src/mixedDomains.test.ts
@@ -6,22 +6,24 @@
 
 const test = uvu.suite('fabric domains whose size is no multiple of the group size');
 
-const large = {
-  name: 'large',
-  groupSize: 6,
-  paceFactor: 1,
-  demandShare: 0.67,
-  loadMs: 16_000,
-  stagedJoinMs: 1_600,
-};
-const small = {
-  name: 'small',
-  groupSize: 3,
-  paceFactor: 0.6,
-  demandShare: 0.33,
-  loadMs: 12_000,
-  stagedJoinMs: 1_100,
-};
+const [large, small] = [
+  {
+    name: 'large',
+    groupSize: 6,
+    paceFactor: 1,
+    demandShare: 0.67,
+    loadMs: 16_000,
+    stagedJoinMs: 1_600,
+  },
+  {
+    name: 'small',
+    groupSize: 3,
+    paceFactor: 0.6,
+    demandShare: 0.33,
+    loadMs: 12_000,
+    stagedJoinMs: 1_100,
+  },
+] as const;
 /** Loads before traffic take a tenth of the time. */
 const loadFraction = 0.1;
 const engine: fleet.EngineProfile = {
