Graceful shutdown: wait for the first request of a connection that was just accepted

Cause: only open requests counted, so the listener closed all connections 100 ms after the last one, with those on which none had come yet. Change: a connection that was accepted within 0.5 s counts as busy. Measured: gracefulShutdown fails before (the request gets no response) and passes now.

--- a/packages/lifecycle/src/createAcceptQueue.ts
+++ b/packages/lifecycle/src/createAcceptQueue.ts
@@ -7,6 +7,8 @@
   readonly drain: (timeoutMs: number) => Promise<void>;
   /** Reports whether a connection was accepted after `drain` was called. */
   readonly isLate: (socket: net.Socket) => boolean;
+  /** Returns the time since the last connection was accepted. */
+  readonly quietMs: () => number;
 }
 
 /**
@@ -17,9 +19,11 @@
 export const createAcceptQueue = (server: net.Server): AcceptQueue => {
   const lateSockets = new WeakSet<net.Socket>();
   let acceptedCount = 0;
+  let acceptedAtMs = -Infinity;
   let isDraining = false;
   server.on('connection', (socket) => {
     acceptedCount += 1;
+    acceptedAtMs = performance.now();
     if (isDraining) lateSockets.add(socket);
   });
 
@@ -34,5 +38,6 @@
       } while (acceptedCount > earlierCount && performance.now() < deadlineMs);
     },
     isLate: (socket) => lateSockets.has(socket),
+    quietMs: () => performance.now() - acceptedAtMs,
   };
 };
--- a/packages/relay/src/createCallerListener.ts
+++ b/packages/relay/src/createCallerListener.ts
@@ -36,6 +36,8 @@
 const drainPollMs = 25;
 /** Time without open requests before the listener closes, since a request may still be arriving. */
 const minIdleMs = 100;
+/** Time in which a caller that has connected sends its request, even if it is short of processor time. */
+const firstRequestMs = 500;
 
 /** Creates the listener; it accepts connections once its part is started. */
 export const createCallerListener = (
@@ -114,7 +116,7 @@
           await lifecycle.pollConnections();
           server.closeIdleConnections();
           const nowMs = clock.monotonicMs();
-          if (openRequestCount > 0) idleSinceMs = nowMs;
+          if (openRequestCount > 0 || acceptQueue.quietMs() < firstRequestMs) idleSinceMs = nowMs;
           if (nowMs - idleSinceMs >= minIdleMs) break;
           await delay(drainPollMs);
         }
