--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -282,6 +282,7 @@
   register(relayTokens.plan, (resolver) =>
     fleet.createPlanTracker({
       ...resolveSharedDependencies(resolver),
+      metrics: resolver.resolve(relayTokens.metrics),
       shouldFollow: () =>
         isHolder() ||
         (isStartWaitOver() && resolver.resolve(relayTokens.plan).ageMs() > maxReceivedPlanAgeMs),
--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -36,6 +36,7 @@
     client,
     clock,
     log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
+    metrics: telemetry.createMetrics(),
     source: { key, decode },
     random: () => 0,
   });
--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -47,6 +47,7 @@
   readonly client: objectStore.PlatformClient;
   readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
+  readonly metrics: telemetry.Metrics;
   readonly source: PlanSource;
   readonly random: () => number;
   /** Whether this daemon watches the plan in the store itself; defaults to always. */
@@ -71,11 +72,16 @@
   let pendingRead: Promise<boolean> | undefined;
   let isFailing = false;
   let followerRun: Promise<void> = Promise.resolve();
+  let reportedRevision: number | undefined;
+  const readCounts = { confirmed: 0, unconfirmed: 0 };
 
   const ageMs = () =>
     confirmedAt === undefined ? Infinity : clocks.maxElapsedMs(clock, confirmedAt);
 
-  const applyObject = ({ value, version }: objectStore.StoredObject) => {
+  const applyObject = (
+    { value, version }: objectStore.StoredObject,
+    origin: 'list' | 'watch' | 'read',
+  ) => {
     const decoded = source.decode(value);
     isReadable = decoded.ok;
     if (!decoded.ok) {
@@ -86,7 +92,7 @@
     const next = decoded.value;
     if (plan !== undefined && next.revision <= plan.revision) return;
     log.info(
-      { step: 'plan', revision: next.revision, before: plan?.revision, ageMs: ageMs() },
+      { step: 'plan', revision: next.revision, before: plan?.revision, ageMs: ageMs(), origin },
       'traffic plan in force',
     );
     plan = next;
@@ -119,8 +125,10 @@
     minIntervalMs: () => 0,
     maxRetryMs,
     random: options.random,
-    onSnapshot: (objects) => objects.filter(isPlan).forEach(applyObject),
-    onChange: (batch) => batch.changed.filter(isPlan).forEach(applyObject),
+    onSnapshot: (objects) =>
+      objects.filter(isPlan).forEach((object) => applyObject(object, 'list')),
+    onChange: (batch) =>
+      batch.changed.filter(isPlan).forEach((object) => applyObject(object, 'watch')),
     onSynced: confirm,
     onFailure: recordFailure,
   });
@@ -128,11 +136,12 @@
   const readPlan = async (): Promise<boolean> => {
     const askedAt = clocks.readTimestamp(clock);
     const result = await client.get(source.key, 'safety');
+    readCounts[result.ok ? 'confirmed' : 'unconfirmed'] += 1;
     if (!result.ok) {
       recordFailure(result.error);
       return false;
     }
-    applyObject(result.value);
+    applyObject(result.value, 'read');
     confirm(askedAt);
     return isReadable;
   };
@@ -144,6 +153,30 @@
     return pendingRead;
   };
 
+  const recordNewerRevision = (revision: number) => {
+    if (reportedRevision === revision) return;
+    reportedRevision = revision;
+    const fields = { step: 'plan', revision, before: plan?.revision, ageMs: Math.round(ageMs()) };
+    log.info(fields, 'another daemon has a newer traffic plan');
+  };
+
+  options.metrics.gauge(
+    'comfreydrum_plan_age_ms',
+    'For how long the traffic plan may be out of date.',
+    ageMs,
+  );
+  options.metrics.gauge(
+    'comfreydrum_plan_revision',
+    'Revision of the traffic plan of this daemon.',
+    () => plan?.revision ?? 0,
+  );
+  options.metrics.sampledCounters(
+    'comfreydrum_plan_reads_total',
+    'Reads of the traffic plan beside watching it, by whether they confirmed it.',
+    'outcome',
+    () => readCounts,
+  );
+
   return {
     current: () => plan,
     ageMs,
@@ -151,6 +184,7 @@
       plan === undefined || !isReadable ? undefined : { revision: plan.revision, ageMs: ageMs() },
     applyShared: (shared, askedAt) => {
       if (plan === undefined || shared.revision > plan.revision) {
+        recordNewerRevision(shared.revision);
         void readPlanOnce();
         return;
       }
--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -32,6 +32,14 @@
   readonly message: string;
   /** How long the caller should wait before it retries. */
   readonly retryAfterMs?: number;
+  /** The plan that decided, as it was at that moment. */
+  readonly decidedBy?: PlanState;
+}
+
+/** Revision and age of a traffic plan. */
+export interface PlanState {
+  readonly revision: number;
+  readonly ageMs: number;
 }
 
 const unavailableStatus = 503;
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -6,7 +6,7 @@
 import { chooseService } from './chooseService';
 import { fingerprintRequest } from './crashes/fingerprintRequest';
 import { readBody } from './readBody';
-import { createNotRunRefusal, type Refusal } from './Refusal';
+import { createNotRunRefusal, type PlanState, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import { serveExchange } from './serveExchange';
@@ -34,8 +34,12 @@
     ),
   );
 
-const createDenial = (cause: 'no-route' | 'unknown-key', statusCode: number, message: string) =>
-  refused({ cause, statusCode, ran: 'not-run', message });
+const createDenial = (
+  cause: 'no-route' | 'unknown-key',
+  statusCode: number,
+  message: string,
+  decidedBy: PlanState,
+) => refused({ cause, statusCode, ran: 'not-run', message, decidedBy });
 
 type Admission =
   | {
@@ -58,13 +62,16 @@
       refused(createNotRunRefusal('no-plan', 'no traffic plan is known yet', noPlanRetryAfterMs)),
     );
   }
+  const stateOf = ({ revision }: fleet.TrafficPlan): PlanState => ({
+    revision,
+    ageMs: dependencies.plan.ageMs(),
+  });
   const route = fleet.findRoute(plan, request.host, request.path);
   if (route === undefined) {
     if (!(await dependencies.plan.ensureFresh(maxDenialPlanAgeMs)))
       return endAdmission(refuseStalePlan(dependencies));
-    return endAdmission(
-      createDenial('no-route', 404, `no route of ${request.host} serves ${request.path}`),
-    );
+    const message = `no route of ${request.host} serves ${request.path}`;
+    return endAdmission(createDenial('no-route', 404, message, stateOf(plan)));
   }
   if (route.isPublic || plan.customersByKey === undefined) return { kind: 'admitted', route };
   if (!(await dependencies.plan.ensureFresh(dependencies.keyValidityMs)))
@@ -72,9 +79,8 @@
   const fresh = dependencies.plan.current() ?? plan;
   const customer = request.key === undefined ? undefined : fresh.customersByKey?.get(request.key);
   if (customer !== undefined) return { kind: 'admitted', route, customer };
-  return endAdmission(
-    createDenial('unknown-key', 401, 'header Authorization: no customer has this key'),
-  );
+  const message = 'header Authorization: no customer has this key';
+  return endAdmission(createDenial('unknown-key', 401, message, stateOf(fresh)));
 };
 
 /** Creates a check, called when a request is sent, of whether the caller's key is still valid. */
@@ -153,8 +159,12 @@
     return { kind, statusCode, ...timing };
   }
   if (result.kind !== 'refused') return result;
-  const { cause, statusCode, ran, message, retryAfterMs } = result.refusal;
-  return { kind: result.kind, cause, statusCode, ran, message, retryAfterMs };
+  const { cause, statusCode, ran, message, retryAfterMs, decidedBy } = result.refusal;
+  const decision =
+    decidedBy === undefined
+      ? {}
+      : { decidedByRevision: decidedBy.revision, decidedByAgeMs: Math.round(decidedBy.ageMs) };
+  return { kind: result.kind, cause, statusCode, ran, message, retryAfterMs, ...decision };
 };
 
 /** Serves one request of a caller up to the final response; never rejects. */
