Admission: a denial is by the plan that confirms it, not by the one of before the read

Cause: findRoute ran on the plan of before ensureFresh; a read that brought a newer plan confirmed the denial by the older one. Only the key was looked up again. Evidence: decidedByRevision 7 with an age of 3 to 6 ms, planRevision 8 on the same lines.

Fix: confirmPlan returns the plan that it confirms, in place of a boolean beside current(), and admitRequest resolves route and customer on that plan again. An allowed request whose key needs a confirmation is decided anew as well: route and key now come from one plan. Limits and service of the request come from it too.

--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -83,11 +83,12 @@
     5_000,
     'a jump of the wall clock may mean that the host was suspended',
   );
-  assert.ok(await tracker.ensureFresh(6_000), 'a recent enough confirmation needs no call');
-  const fresh = tracker.ensureFresh(4_000);
+  const recent = await tracker.confirmPlan(6_000);
+  assert.is(recent?.revision, 4, 'a recent enough confirmation needs no call');
+  const fresh = tracker.confirmPlan(4_000);
   // The pending watch consumes the first response, the read the second.
   client.add({ fail: 'unreachable' }, { object: stored(5, 13) });
-  assert.ok(await fresh);
+  assert.is((await fresh)?.revision, 5);
   assert.is(tracker.current()?.revision, 5);
 });
 
@@ -101,7 +102,7 @@
   await tracker.component.start?.();
   await waitForUpdates();
   clock.advance(5_000);
-  assert.not(await tracker.ensureFresh(4_000));
+  assert.is(await tracker.confirmPlan(4_000), undefined);
 });
 
 test.run();
--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -36,10 +36,10 @@
    */
   readonly applyShared: (shared: SharedPlan, askedAt: clocks.Timestamp) => void;
   /**
-   * Reads the store if the plan may be staler than `maxAgeMs`; resolves to false if that did not
-   * confirm the plan.
+   * Returns the plan that was in force at most `maxAgeMs` ago, which may be newer than the current
+   * one of before the call; undefined if reading the store does not confirm one.
    */
-  readonly ensureFresh: (maxAgeMs: number) => Promise<boolean>;
+  readonly confirmPlan: (maxAgeMs: number) => Promise<TrafficPlan | undefined>;
   readonly component: lifecycle.Component;
 }
 
@@ -191,10 +191,9 @@
       if (shared.revision < plan.revision) return;
       confirm(clocks.subtractDuration(askedAt, shared.ageMs));
     },
-    ensureFresh: async (maxAgeMs) => {
-      if (ageMs() <= maxAgeMs) return true;
-      await readPlanOnce();
-      return ageMs() <= maxAgeMs;
+    confirmPlan: async (maxAgeMs) => {
+      if (ageMs() > maxAgeMs) await readPlanOnce();
+      return ageMs() <= maxAgeMs ? plan : undefined;
     },
     component: {
       name: 'traffic plan',
--- /dev/null
+++ b/packages/relay/src/admitRequest.ts
@@ -0,0 +1,70 @@
+import type * as fleet from '@comfreydrum/fleet';
+import type { CallerRequest } from './CallerRequest';
+import { createNotRunRefusal, type Refusal } from './Refusal';
+import type { RelayDependencies } from './RelayDependencies';
+import { resolveAccess, type Access } from './resolveAccess';
+
+export type Admission =
+  | {
+      readonly kind: 'admitted';
+      /** The plan that admits the request. */
+      readonly plan: fleet.TrafficPlan;
+      readonly route: fleet.Route;
+      readonly customer: fleet.Customer | undefined;
+    }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** Maximum age of the plan for a denial of an unknown route. */
+const maxDenialPlanAgeMs = 4_000;
+const noPlanRetryAfterMs = 500;
+const stalePlanRetryAfterMs = 700;
+
+const denialStatuses = { 'no-route': 404, 'unknown-key': 401 } as const;
+
+const refuse = (refusal: Refusal): Admission => ({ kind: 'refused', refusal });
+
+/**
+ * Admits a request by the current plan. A denial is final for the caller, and a key may have been revoked, so both need
+ * a plan that was lately confirmed to be in force; without one the request is refused and may come again.
+ */
+export const admitRequest = async (
+  {
+    plan: tracker,
+    keyValidityMs,
+  }: Pick<RelayDependencies, 'keyValidityMs'> & {
+    readonly plan: Pick<fleet.PlanTracker, 'current' | 'ageMs' | 'confirmPlan'>;
+  },
+  request: Pick<CallerRequest, 'host' | 'path' | 'key'>,
+): Promise<Admission> => {
+  const known = tracker.current();
+  if (known === undefined) {
+    const message = 'no traffic plan is known yet';
+    return refuse(createNotRunRefusal('no-plan', message, noPlanRetryAfterMs));
+  }
+
+  const maxAgeMsFor = (access: Access): number => {
+    if (access.kind === 'allowed') return access.customer === undefined ? Infinity : keyValidityMs;
+    return access.cause === 'no-route' ? maxDenialPlanAgeMs : keyValidityMs;
+  };
+
+  let plan = known;
+  let access = resolveAccess(plan, request);
+  while (access.kind === 'denied' || tracker.ageMs() > maxAgeMsFor(access)) {
+    const confirmed = await tracker.confirmPlan(maxAgeMsFor(access));
+    if (confirmed === undefined) {
+      const message = `the traffic plan was last proved in force ${Math.round(tracker.ageMs())} ms ago`;
+      return refuse(createNotRunRefusal('plan-out-of-date', message, stalePlanRetryAfterMs));
+    }
+    const wasDenied = access.kind === 'denied';
+    plan = confirmed;
+    access = resolveAccess(plan, request);
+    if (wasDenied && access.kind === 'denied') {
+      const { cause, message } = access;
+      const decidedBy = { revision: plan.revision, ageMs: tracker.ageMs() };
+      const statusCode = denialStatuses[cause];
+      return refuse({ cause, statusCode, ran: 'not-run', message, decidedBy });
+    }
+  }
+  const { route, customer } = access;
+  return { kind: 'admitted', plan, route, customer };
+};
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -1,12 +1,12 @@
 import type * as http from 'node:http';
 import * as errors from '@comfreydrum/errors';
-import * as fleet from '@comfreydrum/fleet';
 import * as lifecycle from '@comfreydrum/lifecycle';
+import { admitRequest } from './admitRequest';
 import type { CallerRequest } from './CallerRequest';
 import { chooseService } from './chooseService';
 import { fingerprintRequest } from './crashes/fingerprintRequest';
 import { readBody } from './readBody';
-import { createNotRunRefusal, type PlanState, type Refusal } from './Refusal';
+import { createNotRunRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import { serveExchange } from './serveExchange';
@@ -17,72 +17,11 @@
 import { watchCaller } from './watchCaller';
 import { writeRefusal } from './writeRefusal';
 
-/** Maximum age of the plan for a denial of an unknown route; an older plan is refreshed first. */
-const maxDenialPlanAgeMs = 4_000;
-const noPlanRetryAfterMs = 500;
-const stalePlanRetryAfterMs = 700;
+const noServiceRetryAfterMs = 500;
 const maxLoggedParts = 16;
 
 const refused = (refusal: Refusal): ServeResult => ({ kind: 'refused', refusal });
 
-const refuseStalePlan = (dependencies: RelayDependencies): ServeResult =>
-  refused(
-    createNotRunRefusal(
-      'plan-out-of-date',
-      `the traffic plan was last proved in force ${Math.round(dependencies.plan.ageMs())} ms ago`,
-      stalePlanRetryAfterMs,
-    ),
-  );
-
-const createDenial = (
-  cause: 'no-route' | 'unknown-key',
-  statusCode: number,
-  message: string,
-  decidedBy: PlanState,
-) => refused({ cause, statusCode, ran: 'not-run', message, decidedBy });
-
-type Admission =
-  | {
-      readonly kind: 'admitted';
-      readonly route: fleet.Route;
-      readonly customer?: fleet.Customer;
-    }
-  | { readonly kind: 'ended'; readonly result: ServeResult };
-
-const endAdmission = (result: ServeResult): Admission => ({ kind: 'ended', result });
-
-/** Resolves the route and the customer of a request; denies a request only by a plan confirmed as current. */
-const admit = async (
-  dependencies: RelayDependencies,
-  request: CallerRequest,
-): Promise<Admission> => {
-  const plan = dependencies.plan.current();
-  if (plan === undefined) {
-    return endAdmission(
-      refused(createNotRunRefusal('no-plan', 'no traffic plan is known yet', noPlanRetryAfterMs)),
-    );
-  }
-  const stateOf = ({ revision }: fleet.TrafficPlan): PlanState => ({
-    revision,
-    ageMs: dependencies.plan.ageMs(),
-  });
-  const route = fleet.findRoute(plan, request.host, request.path);
-  if (route === undefined) {
-    if (!(await dependencies.plan.ensureFresh(maxDenialPlanAgeMs)))
-      return endAdmission(refuseStalePlan(dependencies));
-    const message = `no route of ${request.host} serves ${request.path}`;
-    return endAdmission(createDenial('no-route', 404, message, stateOf(plan)));
-  }
-  if (route.isPublic || plan.customersByKey === undefined) return { kind: 'admitted', route };
-  if (!(await dependencies.plan.ensureFresh(dependencies.keyValidityMs)))
-    return endAdmission(refuseStalePlan(dependencies));
-  const fresh = dependencies.plan.current() ?? plan;
-  const customer = request.key === undefined ? undefined : fresh.customersByKey?.get(request.key);
-  if (customer !== undefined) return { kind: 'admitted', route, customer };
-  const message = 'header Authorization: no customer has this key';
-  return endAdmission(createDenial('unknown-key', 401, message, stateOf(fresh)));
-};
-
 /** Creates a check, called when a request is sent, of whether the caller's key is still valid. */
 const createKeyCheck =
   (dependencies: RelayDependencies, request: CallerRequest, needsKey: boolean) => () => {
@@ -102,11 +41,10 @@
 ): Promise<FingerprintedResult> => {
   const arrivedAtMs = dependencies.clock.monotonicMs();
   const callerDisconnected = watchCaller(message, response);
-  const admission = await admit(dependencies, request);
-  if (admission.kind === 'ended') return admission.result;
-  const { route, customer } = admission;
+  const admission = await admitRequest(dependencies, request);
+  if (admission.kind === 'refused') return admission;
+  const { plan, route, customer } = admission;
   const customerName = customer?.name;
-  const plan = dependencies.plan.current()!;
   const body = await readBody(message, plan.limits);
   if (body.kind !== 'body') return body;
   await lifecycle.pollConnections();
@@ -114,7 +52,7 @@
   const service = chooseService(plan, route, dependencies.random());
   if (service === undefined) {
     const text = `route ${route.name} names no service of revision ${plan.revision}`;
-    return refused(createNotRunRefusal('no-target', text, noPlanRetryAfterMs));
+    return refused(createNotRunRefusal('no-target', text, noServiceRetryAfterMs));
   }
   const fingerprint = fingerprintRequest(dependencies.hasher, request, customerName, body.bytes);
   const timeLimitMs = Math.min(route.timeoutMs, request.timeLimitMs ?? Infinity);
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -258,7 +258,7 @@
       ageMs,
       share: () => undefined,
       applyShared: () => {},
-      ensureFresh: async (maxAgeMs) => ageMs() <= maxAgeMs,
+      confirmPlan: async (maxAgeMs) => (ageMs() <= maxAgeMs ? plan : undefined),
       component: { name: 'plan' },
     },
     targets: {
