Admission: no denial by a plan older than the time in which a plan comes into force

Cause: two bounds shared constants. How long a key may still be honoured (the time of revocation, 4,750 ms) also said how long an unknown key may be denied, and 4,000 ms was fixed for unknown routes, while a plan must be in force after 2,000 ms (3,000 or 4,000 on larger fleets).

Known routes and keys wait for no read: all of them are served in the same test.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -14,6 +14,8 @@
 
 /** Subtracted from the revocation time, since a request starts up to this long after its key was checked. */
 const keyCheckMarginMs = 250;
+/** Subtracted from the time in which a plan comes into force, as clocks of two hosts differ a little in speed. */
+const denialMarginMs = 100;
 /**
  * Longest delay between attempts to reach an unavailable store. Time limits count from the return of the
  * store, so watching must resume soon after it.
@@ -99,7 +101,7 @@
 };
 
 const createRelay = (container: tsyringe.DependencyContainer) => {
-  const { ip, failureDomain, callers, targets, keys, retries, shutdown } = container.resolve(
+  const { ip, failureDomain, callers, targets, keys, plan, retries, shutdown } = container.resolve(
     relayTokens.settings,
   );
   const { host, port } = peers.parseAddress(callers.listen);
@@ -125,6 +127,7 @@
     otherLoads: () => container.resolve(relayTokens.lease).otherLoads(),
     otherLoadsAgeMs: () => container.resolve(relayTokens.lease).otherLoadsAgeMs(),
     keyValidityMs: keys.revocationMs - keyCheckMarginMs,
+    denialValidityMs: plan.inForceMs - denialMarginMs,
     retryFraction: retries.fraction,
     fleetRetryReserve: retries.reserve,
     hasher: container.resolve(relayTokens.hasher),
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -58,6 +58,8 @@
   readonly random: () => number;
   /** Keys are treated as revoked once the plan has not been confirmed as current for this long. */
   readonly keyValidityMs: number;
+  /** A request is denied for good only by a plan that was confirmed as current within this time. */
+  readonly denialValidityMs: number;
   readonly failureReporter: FailureReporter;
   readonly hasher: routing.PrefixHasher;
   readonly crashMonitor: CrashMonitor;
--- a/packages/relay/src/admitRequest.test.ts
+++ b/packages/relay/src/admitRequest.test.ts
@@ -6,6 +6,7 @@
 const test = uvu.suite('admission of requests');
 
 const keyValidityMs = 4_750;
+const denialValidityMs = 1_900;
 
 const createRoute = (pathPrefix: string, isPublic = false) =>
   ({ name: pathPrefix, host: 'desk.example', pathPrefix, isPublic }) as fleet.Route;
@@ -50,7 +51,10 @@
   tracker: ReturnType<typeof createTracker>,
   ...args: Parameters<typeof request>
 ) => {
-  const admission = await admitRequest({ plan: tracker, keyValidityMs }, request(...args));
+  const admission = await admitRequest(
+    { plan: tracker, keyValidityMs, denialValidityMs },
+    request(...args),
+  );
   return admission.kind === 'admitted'
     ? `${admission.route.name} of ${admission.plan.revision} for ${admission.customer?.name}`
     : `${admission.refusal.statusCode} ${admission.refusal.cause} by ${admission.refusal.decidedBy?.revision}`;
@@ -72,6 +76,19 @@
   assert.is(revoked, '401 unknown-key by 8');
 });
 
+test('denies nothing by a plan that may have been replaced, though a key may still be honoured by it', async () => {
+  const ageMs = 3_000;
+  assert.is(
+    await admit(createTracker(ageMs, after), '/orders/1'),
+    '/orders/ of 8 for customer of key-1',
+  );
+  const added = await admit(createTracker(ageMs, after), '/filings/1', 'key-3');
+  assert.is(added, '/filings/ of 8 for customer of key-3');
+  const known = createTracker(ageMs, after);
+  assert.is(await admit(known, '/filings/1'), '/filings/ of 7 for customer of key-1');
+  assert.is(known.readCount(), 0, 'sound requests wait for no read');
+});
+
 test('denies nothing by a plan that can not be confirmed', async () => {
   const refusal = '503 plan-out-of-date by undefined';
   assert.is(await admit(createTracker(10_000, undefined), '/orders/1'), refusal);
--- a/packages/relay/src/admitRequest.ts
+++ b/packages/relay/src/admitRequest.ts
@@ -14,8 +14,6 @@
     }
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
-/** Maximum age of the plan for a denial of an unknown route. */
-const maxDenialPlanAgeMs = 4_000;
 const noPlanRetryAfterMs = 500;
 const stalePlanRetryAfterMs = 700;
 
@@ -31,7 +29,8 @@
   {
     plan: tracker,
     keyValidityMs,
-  }: Pick<RelayDependencies, 'keyValidityMs'> & {
+    denialValidityMs,
+  }: Pick<RelayDependencies, 'keyValidityMs' | 'denialValidityMs'> & {
     readonly plan: Pick<fleet.PlanTracker, 'current' | 'ageMs' | 'confirmPlan'>;
   },
   request: Pick<CallerRequest, 'host' | 'path' | 'key'>,
@@ -43,8 +42,8 @@
   }
 
   const maxAgeMsFor = (access: Access): number => {
-    if (access.kind === 'allowed') return access.customer === undefined ? Infinity : keyValidityMs;
-    return access.cause === 'no-route' ? maxDenialPlanAgeMs : keyValidityMs;
+    if (access.kind === 'denied') return denialValidityMs;
+    return access.customer === undefined ? Infinity : keyValidityMs;
   };
 
   let plan = known;
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -69,6 +69,7 @@
   /** Returns the mean age of those reports. */
   readonly otherLoadsAgeMs: () => number;
   readonly keyValidityMs: number;
+  readonly denialValidityMs: number;
   /** Retries at a service allowed per first attempt, across the fleet. */
   readonly retryFraction: number;
   /** Additional retries allowed at each service across the fleet. */
@@ -263,6 +264,7 @@
     retryBudgets,
     random: options.random,
     keyValidityMs: options.keyValidityMs,
+    denialValidityMs: options.denialValidityMs,
     failureReporter: options.failureReporter,
     hasher: options.hasher,
     crashMonitor,
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -281,6 +281,7 @@
     otherLoads: options.otherLoads ?? (() => ({})),
     otherLoadsAgeMs: () => 0,
     keyValidityMs: 4_000,
+    denialValidityMs: 1_900,
     retryFraction: 0.2,
     fleetRetryReserve: options.fleetRetryReserve ?? 100,
     hasher: await routing.createPrefixHasher(),
--- a/packages/settings/src/relaySettingsSchema.ts
+++ b/packages/settings/src/relaySettingsSchema.ts
@@ -57,6 +57,13 @@
         ),
       })
       .optional(),
+    plan: zod
+      .strictObject({
+        inForceMs: milliseconds.describe(
+          'A traffic plan is in force at every instance this long after the store has accepted it.',
+        ),
+      })
+      .default({ inForceMs: 2_000 }),
     keys: zod.strictObject({
       revocationMs: milliseconds.describe(
         'A revoked key is never used later than this after its revocation.',
