Traffic plan: a daemon without confirmations reads it early enough for a call to fail

Cause: the threshold was a constant beside the deployment's bound, with room for one call that does not fail.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -35,12 +35,6 @@
 const noticeMs = 2_600;
 /** Reserved at the end of the grace period, after requests have been drained. */
 const shutdownMarginMs = 700;
-/**
- * Watch timeout of the lease holder for the plan. Its confirmation of the plan has already aged when the
- * other daemons receive it, so the holder renews it more often than a daemon that watches only for itself.
- */
-const holderPlanWatchTimeoutMs = 300;
-const planWatchTimeoutMs = 1_500;
 const holderListWatchTimeoutMs = 500;
 const listWatchTimeoutMs = 2_000;
 /**
@@ -48,12 +42,6 @@
  * target must receive no new requests after 2 s, also when only the holder is cut off from the store.
  */
 const maxReceivedListAgeMs = 1_700;
-/**
- * A daemon watches the store itself while the plan confirmation that it received is older than this. While
- * the holder reaches the store, confirmations are younger: at most twice its watch timeout plus a check-in.
- * A plan must be in force within 2 s, also when only the holder is cut off from the store.
- */
-const maxReceivedPlanAgeMs = 1_700;
 /** Time that a starting daemon waits for data of the lease holder before it reads the store itself. */
 const startWaitMs = 1_500;
 const msPerSecond = 1_000;
@@ -286,10 +274,9 @@
     fleet.createPlanTracker({
       ...resolveSharedDependencies(resolver),
       metrics: resolver.resolve(relayTokens.metrics),
-      shouldFollow: () =>
-        isHolder() ||
-        (isStartWaitOver() && resolver.resolve(relayTokens.plan).ageMs() > maxReceivedPlanAgeMs),
-      watchTimeoutMs: () => (isHolder() ? holderPlanWatchTimeoutMs : planWatchTimeoutMs),
+      inForceMs: daemonSettings.plan.inForceMs,
+      isHolder,
+      mayFollow: isStartWaitOver,
       source: resolver.resolve(relayTokens.platform).planSource,
     }),
   );
--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -29,6 +29,8 @@
     setTimeout(resolve, 20);
   });
 
+const inForceMs = 2_000;
+
 const createTracker = (...script: readonly ScriptedResponse[]) => {
   const clock = clocks.createManualClock(1_000_000);
   const client = createScriptedClient(...script);
@@ -39,6 +41,9 @@
     metrics: telemetry.createMetrics(),
     source: { key, decode },
     random: () => 0,
+    inForceMs,
+    isHolder: () => true,
+    mayFollow: () => true,
   });
   return { clock, client, tracker };
 };
@@ -105,4 +110,31 @@
   assert.is(await tracker.confirmPlan(4_000), undefined);
 });
 
+test('has a new plan in force in time where nobody confirms it and a call to the store fails', async () => {
+  const tracker = fleet.createPlanTracker({
+    client: createScriptedClient(
+      { list: [stored(4, 10)], version: 10 },
+      { fail: 'unreachable' },
+      { list: [stored(5, 11)], version: 11 },
+    ),
+    clock: clocks.createSystemClock(),
+    log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
+    metrics: telemetry.createMetrics(),
+    source: { key, decode },
+    // The longest delay before a failed call is repeated.
+    random: () => 0.999,
+    inForceMs,
+    isHolder: () => false,
+    mayFollow: () => true,
+  });
+  const startedAtMs = performance.now();
+  await tracker.component.start?.();
+  while (tracker.current()?.revision !== 5 && performance.now() - startedAtMs < 2 * inForceMs) {
+    await waitForUpdates();
+  }
+  const tookMs = performance.now() - startedAtMs;
+  await tracker.component.stop?.();
+  assert.ok(tookMs < inForceMs, `in force after ${Math.round(tookMs)} ms`);
+});
+
 test.run();
--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -50,13 +50,21 @@
   readonly metrics: telemetry.Metrics;
   readonly source: PlanSource;
   readonly random: () => number;
-  /** Whether this daemon watches the plan in the store itself; defaults to always. */
-  readonly shouldFollow?: () => boolean;
-  /** Timeout of a watch call; the staleness is at most twice this plus the duration of a call. */
-  readonly watchTimeoutMs?: () => number;
+  /** Time after a change of the plan from which it must be in force. */
+  readonly inForceMs: number;
+  /** Whether this daemon confirms the plan to the others. */
+  readonly isHolder: () => boolean;
+  /** Whether this daemon may read the store although another one may confirm the plan. */
+  readonly mayFollow: () => boolean;
 }
 
-const defaultWatchTimeoutMs = 1_500;
+/**
+ * A daemon reads the store itself once the confirmation that it received is older than this fraction of `inForceMs`;
+ * the rest covers a call that fails, and its repetition.
+ */
+const maxReceivedAgeFraction = 0.6;
+/** The holder's confirmation is at most two watches old when it answers a check-in. */
+const watchTimeoutMs = 300;
 const maxRetryMs = 400;
 
 /**
@@ -120,8 +128,10 @@
     client,
     clock,
     kind: source.key.kind,
-    watchTimeoutMs: options.watchTimeoutMs ?? (() => defaultWatchTimeoutMs),
-    isEnabled: options.shouldFollow,
+    watchTimeoutMs: () => watchTimeoutMs,
+    isEnabled: () =>
+      options.isHolder() ||
+      (options.mayFollow() && ageMs() > options.inForceMs * maxReceivedAgeFraction),
     minIntervalMs: () => 0,
     maxRetryMs,
     random: options.random,
