Traffic plan: no denial by a plan to which another daemon has named a newer one

Cause: the age alone confirmed a plan. Fix: confirmPlan needs a read of the store after such an announcement. The store's word ends it, so that an announced revision that the store does not have refuses nobody for long.

Red before: 'confirms no plan by its age once another daemon has named a newer one' (4 in place of 5).

--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -31,7 +31,7 @@
 
 const inForceMs = 2_000;
 
-const createTracker = (...script: readonly ScriptedResponse[]) => {
+const createDaemonTracker = (isHolder: boolean, script: readonly ScriptedResponse[]) => {
   const clock = clocks.createManualClock(1_000_000);
   const client = createScriptedClient(...script);
   const tracker = fleet.createPlanTracker({
@@ -42,12 +42,18 @@
     source: { key, decode },
     random: () => 0,
     inForceMs,
-    isHolder: () => true,
+    isHolder: () => isHolder,
     mayFollow: () => true,
   });
   return { clock, client, tracker };
 };
 
+const createTracker = (...script: readonly ScriptedResponse[]) => createDaemonTracker(true, script);
+
+/** A tracker that makes no call of its own once it has listed the plan, while the clock stands still. */
+const createStandbyTracker = (...script: readonly ScriptedResponse[]) =>
+  createDaemonTracker(false, script);
+
 test('has no plan and an infinite age before the first response', async () => {
   const { tracker } = createTracker();
   assert.is(tracker.current(), undefined);
@@ -110,6 +116,31 @@
   assert.is(await tracker.confirmPlan(4_000), undefined);
 });
 
+test('confirms no plan by its age once another daemon has named a newer one', async () => {
+  const { tracker, clock } = createStandbyTracker(
+    { list: [stored(4, 10)], version: 10 },
+    { fail: 'unreachable' },
+    { object: stored(5, 11) },
+  );
+  await tracker.component.start?.();
+  await waitForUpdates();
+  tracker.applyShared({ revision: 5, ageMs: 0 }, clocks.readTimestamp(clock));
+  await waitForUpdates();
+  assert.is((await tracker.confirmPlan(inForceMs))?.revision, 5);
+});
+
+test('believes the store when it does not have the plan that another daemon has named', async () => {
+  const { tracker, clock } = createStandbyTracker(
+    { list: [stored(4, 10)], version: 10 },
+    { object: stored(4, 10) },
+  );
+  await tracker.component.start?.();
+  await waitForUpdates();
+  tracker.applyShared({ revision: 5, ageMs: 0 }, clocks.readTimestamp(clock));
+  await waitForUpdates();
+  assert.is((await tracker.confirmPlan(inForceMs))?.revision, 4);
+});
+
 test('has a new plan in force in time where nobody confirms it and a call to the store fails', async () => {
   const tracker = fleet.createPlanTracker({
     client: createScriptedClient(
--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -36,8 +36,9 @@
    */
   readonly applyShared: (shared: SharedPlan, askedAt: clocks.Timestamp) => void;
   /**
-   * Returns the plan that was in force at most `maxAgeMs` ago, which may be newer than the current
-   * one of before the call; undefined if reading the store does not confirm one.
+   * Returns the plan that was in force at most `maxAgeMs` ago and to which no other daemon has named
+   * a newer one. It may be newer than the current one of before the call; undefined if reading the
+   * store does not confirm one.
    */
   readonly confirmPlan: (maxAgeMs: number) => Promise<TrafficPlan | undefined>;
   readonly component: lifecycle.Component;
@@ -80,7 +81,8 @@
   let pendingRead: Promise<boolean> | undefined;
   let isFailing = false;
   let followerRun: Promise<void> = Promise.resolve();
-  let reportedRevision: number | undefined;
+  /** A newer revision that another daemon has, until the store has been read since then. */
+  let announced: { readonly revision: number; readonly atMs: number } | undefined;
   const readCounts = { confirmed: 0, unconfirmed: 0 };
 
   const ageMs = () =>
@@ -106,8 +108,11 @@
     plan = next;
   };
 
+  const isConfirmed = (maxAgeMs: number) => announced === undefined && ageMs() <= maxAgeMs;
+
   const confirm = (moment: clocks.Timestamp) => {
     if (!isReadable) return;
+    if (announced !== undefined && moment.monotonicMs >= announced.atMs) announced = undefined;
     if (isFailing) log.info({ step: 'plan', peer: 'store' }, 'store is reachable again');
     isFailing = false;
     if (confirmedAt === undefined || moment.monotonicMs >= confirmedAt.monotonicMs)
@@ -164,8 +169,8 @@
   };
 
   const recordNewerRevision = (revision: number) => {
-    if (reportedRevision === revision) return;
-    reportedRevision = revision;
+    if (announced !== undefined && announced.revision >= revision) return;
+    announced = { revision, atMs: clock.monotonicMs() };
     const fields = { step: 'plan', revision, before: plan?.revision, ageMs: Math.round(ageMs()) };
     log.info(fields, 'another daemon has a newer traffic plan');
   };
@@ -202,8 +207,8 @@
       confirm(clocks.subtractDuration(askedAt, shared.ageMs));
     },
     confirmPlan: async (maxAgeMs) => {
-      if (ageMs() > maxAgeMs) await readPlanOnce();
-      return ageMs() <= maxAgeMs ? plan : undefined;
+      if (!isConfirmed(maxAgeMs)) await readPlanOnce();
+      return isConfirmed(maxAgeMs) ? plan : undefined;
     },
     component: {
       name: 'traffic plan',
