Traffic plan: requests that need a confirmation do not become calls to the store each

While the store refuses or the plan in it can't be read, each request with an unknown key or route whose denial needed a confirmation read the store once more: 50 of 50 in the test, one after the other.

Cause: only reads at the same time were shared. Fix: after a read that confirmed nothing the next one waits 200 ms; until then these requests are refused with 503 and Retry-After. A read that the store answers confirms the plan for 1.9 s anyhow. The metric counts an unreadable plan as unconfirmed.

--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -126,9 +126,27 @@
   await waitForUpdates();
   tracker.applyShared({ revision: 5, ageMs: 0 }, clocks.readTimestamp(clock));
   await waitForUpdates();
+  assert.is(await tracker.confirmPlan(inForceMs), undefined, 'just after the read that failed');
+  clock.advance(200);
   assert.is((await tracker.confirmPlan(inForceMs))?.revision, 5);
 });
 
+test('makes few calls for many requests that need a confirmation which the store does not give', async () => {
+  const failures = Array.from({ length: 100 }, () => ({ fail: 'refused' as const }));
+  const { tracker, clock, client } = createTracker({ list: [stored(4, 10)], version: 10 });
+  await tracker.component.start?.();
+  await waitForUpdates();
+  clock.advance(5_000);
+  // The pending watch consumes the first response; the follower may repeat it once meanwhile.
+  client.add(...failures);
+  const readCount = () => client.calls.filter((call) => call.startsWith('get')).length;
+  for (let count = 0; count < 50; count += 1) await tracker.confirmPlan(inForceMs);
+  assert.is(readCount(), 1);
+  clock.advance(1_000);
+  for (let count = 0; count < 50; count += 1) await tracker.confirmPlan(inForceMs);
+  assert.is(readCount(), 2);
+});
+
 test('believes the store when it does not have the plan that another daemon has named', async () => {
   const { tracker, clock } = createStandbyTracker(
     { list: [stored(4, 10)], version: 10 },
--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -67,6 +67,8 @@
 /** The holder's confirmation is at most two watches old when it answers a check-in. */
 const watchTimeoutMs = 300;
 const maxRetryMs = 400;
+/** Interval after a read that confirmed nothing, so that requests which need one do not become calls each. */
+const minReadIntervalMs = 200;
 
 /**
  * Creates a tracker without a plan. A plan with a lower revision than the current one is ignored. A
@@ -78,7 +80,8 @@
   let plan: TrafficPlan | undefined;
   let confirmedAt: clocks.Timestamp | undefined;
   let isReadable = false;
-  let pendingRead: Promise<boolean> | undefined;
+  let pendingRead: Promise<void> | undefined;
+  let unconfirmedReadAtMs = -Infinity;
   let isFailing = false;
   let followerRun: Promise<void> = Promise.resolve();
   /** A newer revision that another daemon has, until the store has been read since then. */
@@ -148,20 +151,20 @@
     onFailure: recordFailure,
   });
 
-  const readPlan = async (): Promise<boolean> => {
+  const readPlan = async (): Promise<void> => {
     const askedAt = clocks.readTimestamp(clock);
     const result = await client.get(source.key, 'safety');
-    readCounts[result.ok ? 'confirmed' : 'unconfirmed'] += 1;
-    if (!result.ok) {
-      recordFailure(result.error);
-      return false;
-    }
-    applyObject(result.value, 'read');
-    confirm(askedAt);
-    return isReadable;
+    if (result.ok) {
+      applyObject(result.value, 'read');
+      confirm(askedAt);
+    } else recordFailure(result.error);
+    const isPlanConfirmed = result.ok && isReadable;
+    readCounts[isPlanConfirmed ? 'confirmed' : 'unconfirmed'] += 1;
+    if (!isPlanConfirmed) unconfirmedReadAtMs = clock.monotonicMs();
   };
 
-  const readPlanOnce = (): Promise<boolean> => {
+  const readPlanOnce = (): Promise<void> => {
+    if (clock.monotonicMs() - unconfirmedReadAtMs < minReadIntervalMs) return Promise.resolve();
     pendingRead ??= readPlan().finally(() => {
       pendingRead = undefined;
     });
