Streams: an error answered with the status of a success is not joined to a stream that broke off

Report of other operators: a stream had begun and broke off, the next target answered with an error, and callers found its text, at times its whole head, in the middle of their stream, or the stream ended as if complete.

It can happen here. Answers with an error status were never joined (test, 42 of them). But an answer with status 200 that holds an error was: its text passed as a comment or as an event without an id, and its end as the end of the stream. 9 such answers, plain text, JSON and an event stream with text in it, were joined before (test, red).

Cause: the events of a resumed run were checked only where they had an id. Fix: the run that continues a response must have the type of its head, begin with an event that has an id where the stream has ids, and hold only fields and comments of an event stream; otherwise it fails like a run that breaks off, and the stream goes on elsewhere or is cut off. An empty event stream still ends one that had all its events. First runs are forwarded as before.

--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -1,6 +1,7 @@
 import * as errors from '@comfreydrum/errors';
 import { forwardedHeadersOf } from './forwardedHeadersOf';
 import type { Candidate } from './chooseTarget';
+import { createResumeCheck, type ResumeCheck } from './createResumeCheck';
 import { createEventSplitter, type StreamEvent } from './createEventSplitter';
 import { isCloseDelimited } from './isCloseDelimited';
 import { assessStall } from './assessStall';
@@ -56,6 +57,7 @@
   { candidate, progress, control }: StreamAttempt,
   { answer }: MatchedResponse,
   placedRun: PlacedRun,
+  resumeCheck: ResumeCheck | undefined,
 ): Promise<string | undefined> =>
   new Promise((resolve) => {
     const { targetTracker, clock, metrics } = dependencies;
@@ -86,7 +88,9 @@
     const writeHead = () => {
       if (response.headersSent) return;
       if (isCloseDelimited(answer, context.request.method)) makeCloseDelimited(response);
-      response.writeHead(answer.statusCode, forwardedHeadersOf(answer.headers));
+      const headers = forwardedHeadersOf(answer.headers);
+      response.writeHead(answer.statusCode, headers);
+      progress.onHead(headers['content-type']?.toString());
     };
 
     /** Writes events at once: each write of its own that waits for a slow reader takes many times the bytes of an event. */
@@ -109,6 +113,8 @@
           const name = event.id ?? 'without id';
           return { count, fault: `event ${name} is larger than ${maxEventBytes} bytes` };
         }
+        const fault = resumeCheck?.checkEvent(event);
+        if (fault !== undefined) return { count, fault };
         recordEvent(event.id, nowMs);
       }
       return { count: events.length, fault: undefined };
@@ -135,8 +141,10 @@
       },
       onEnd: (cause) => {
         const comments = splitter.trailingComments();
+        const fault = comments && resumeCheck?.checkComments(comments);
         if (cause !== undefined) settle(errors.describeCause(cause));
         else if (comments === undefined) settle('the answer ended in the middle of an event');
+        else if (fault !== undefined) settle(fault);
         else if (
           isFirstOfRun &&
           isCloseDelimited(answer, context.request.method) &&
@@ -262,7 +270,22 @@
       const excuse = excuseOf(metadata);
       return fail({ ran: 'unknown', message, wasRejected: false, wasAnswered: true, excuse });
     }
-    const fault = await relayEvents(dependencies, context, attempt, sent.matched, placedRun);
+    const resumeCheck = context.response.headersSent
+      ? createResumeCheck(progress.read())
+      : undefined;
+    const headFault = resumeCheck?.checkHead(answer);
+    if (headFault !== undefined) {
+      answer.body.discard();
+      return fail({ ran: 'unknown', message: headFault, wasRejected: false, wasAnswered: true });
+    }
+    const fault = await relayEvents(
+      dependencies,
+      context,
+      attempt,
+      sent.matched,
+      placedRun,
+      resumeCheck,
+    );
     if (fault !== undefined) {
       const wasBroken = !signal.aborted;
       return fail({ ran: 'unknown', message: fault, wasRejected: false, wasBroken });
--- a/packages/relay/src/createStreamProgress.ts
+++ b/packages/relay/src/createStreamProgress.ts
@@ -1,5 +1,7 @@
 /** What has been forwarded of a stream so far. */
 export interface StreamState {
+  /** Header content-type of the response, once its head is written. */
+  readonly contentType: string | undefined;
   /** Id of the last event that the caller has. */
   readonly lastEventId: number | undefined;
   readonly lastEventAtMs: number | undefined;
@@ -13,12 +15,14 @@
 /** Tracks the progress of one stream across all of its runs. */
 export interface StreamProgress {
   readonly read: () => StreamState;
+  readonly onHead: (contentType: string | undefined) => void;
   readonly onEvent: (id: number | undefined, nowMs: number) => void;
 }
 
 /** Creates the progress of a stream that resumes after `lastEventId`, if the caller already has that event. */
 export const createStreamProgress = (lastEventId: number | undefined): StreamProgress => {
   let state: StreamState = {
+    contentType: undefined,
     lastEventId,
     lastEventAtMs: undefined,
     eventCount: 0,
@@ -28,9 +32,13 @@
 
   return {
     read: () => state,
+    onHead: (contentType) => {
+      state = { ...state, contentType };
+    },
     onEvent: (id, nowMs) => {
       const gapMs = nowMs - (state.lastEventAtMs ?? nowMs);
       state = {
+        ...state,
         lastEventId: id ?? state.lastEventId,
         lastEventAtMs: nowMs,
         eventCount: state.eventCount + 1,
