--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -270,9 +270,7 @@
       const excuse = excuseOf(metadata);
       return fail({ ran: 'unknown', message, wasRejected: false, wasAnswered: true, excuse });
     }
-    const resumeCheck = context.response.headersSent
-      ? createResumeCheck(progress.read())
-      : undefined;
+    const resumeCheck = context.response.headersSent ? createResumeCheck(progress) : undefined;
     const headFault = resumeCheck?.checkHead(answer);
     if (headFault !== undefined) {
       answer.body.discard();
--- a/packages/relay/src/createResumeCheck.ts
+++ b/packages/relay/src/createResumeCheck.ts
@@ -1,6 +1,6 @@
 import type * as targetClient from '@comfreydrum/target-client';
 import type { StreamEvent } from './createEventSplitter';
-import type { StreamState } from './createStreamProgress';
+import type { StreamProgress } from './createStreamProgress';
 
 /** A field of an event, or a comment; fields have lower-case names and may lack a value. */
 const eventStreamLine = /^(?::|[a-z][a-z0-9-]*(?::|$))/;
@@ -17,7 +17,7 @@
 
 /** Checks the run that continues a stream of another one; each check returns a description of the fault, if any. */
 export interface ResumeCheck {
-  readonly checkHead: (answer: targetClient.TargetResponse) => string | undefined;
+  readonly checkHead: (answer: Pick<targetClient.TargetResponse, 'headers'>) => string | undefined;
   /** Checks the next event of the run, with the comments before it. */
   readonly checkEvent: (event: StreamEvent) => string | undefined;
   /** Checks what comes after the last event. */
@@ -28,19 +28,17 @@
  * Creates the check of a run that continues a response whose head has been sent. An error that a target answers with
  * the status of a success is not joined to the events of the earlier run.
  */
-export const createResumeCheck = ({
-  contentType,
-  lastEventId,
-}: Pick<StreamState, 'contentType' | 'lastEventId'>): ResumeCheck => {
+export const createResumeCheck = (progress: StreamProgress): ResumeCheck => {
+  const { lastEventId } = progress.read();
   let isFirst = true;
   const describeText = (bytes: Buffer) =>
     isEventStream(bytes) ? undefined : 'the answer holds text that is no event';
   return {
     checkHead: ({ headers }) => {
-      const expected = mediaTypeOf(contentType ?? '');
+      const expected = mediaTypeOf(progress.contentType() ?? '');
       const received = mediaTypeOf(String(headers['content-type'] ?? ''));
-      if (received === expected) return undefined;
-      return `the answer has the type ${received || 'none'} in place of ${expected || 'none'}`;
+      if (expected === '' || received === expected) return undefined;
+      return `the answer has the type ${received || 'none'} in place of ${expected}`;
     },
     checkEvent: ({ id, bytes }) => {
       const needsId = isFirst && lastEventId !== undefined;
--- a/packages/relay/src/createStreamProgress.ts
+++ b/packages/relay/src/createStreamProgress.ts
@@ -1,7 +1,5 @@
 /** What has been forwarded of a stream so far. */
 export interface StreamState {
-  /** Header content-type of the response, once its head is written. */
-  readonly contentType: string | undefined;
   /** Id of the last event that the caller has. */
   readonly lastEventId: number | undefined;
   readonly lastEventAtMs: number | undefined;
@@ -15,6 +13,8 @@
 /** Tracks the progress of one stream across all of its runs. */
 export interface StreamProgress {
   readonly read: () => StreamState;
+  /** Returns the header content-type of the response, once its head is written. */
+  readonly contentType: () => string | undefined;
   readonly onHead: (contentType: string | undefined) => void;
   readonly onEvent: (id: number | undefined, nowMs: number) => void;
 }
@@ -22,7 +22,6 @@
 /** Creates the progress of a stream that resumes after `lastEventId`, if the caller already has that event. */
 export const createStreamProgress = (lastEventId: number | undefined): StreamProgress => {
   let state: StreamState = {
-    contentType: undefined,
     lastEventId,
     lastEventAtMs: undefined,
     eventCount: 0,
@@ -30,15 +29,17 @@
     maxGapMs: 0,
   };
 
+  let contentType: string | undefined;
+
   return {
     read: () => state,
-    onHead: (contentType) => {
-      state = { ...state, contentType };
+    contentType: () => contentType,
+    onHead: (sent) => {
+      contentType = sent;
     },
     onEvent: (id, nowMs) => {
       const gapMs = nowMs - (state.lastEventAtMs ?? nowMs);
       state = {
-        ...state,
         lastEventId: id ?? state.lastEventId,
         lastEventAtMs: nowMs,
         eventCount: state.eventCount + 1,
