Rejections: one that names no request proves nothing on a connection that was used before

Report of other operators: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that had run.

It can happen here to requests that may be repeated, where the copy names no request: 503, not run, for one that the target ran (reusedConnections, red: 503 in place of 502). Requests that may run once are sent on connections of their own, and a copy that names another request never counted.

Cause: an error response without an id was believed wherever it came. Fix: the client says whether the connection had delivered anything before the request was written; then only a rejection that names the request proves that it did not run.

--- a/packages/relay/src/reusedConnections.test.ts
+++ b/packages/relay/src/reusedConnections.test.ts
@@ -11,11 +11,16 @@
 const route = { kind: 'idempotent', maxTargets: 2 } as const;
 
 /** Encodes the answer to a request, which names the request in its body too. */
-const encodeAnswer = (status: number, requestId: string, header: string): string => {
+const encodeAnswer = (
+  status: number,
+  requestId: string,
+  header: string,
+  namesRequest: boolean,
+): string => {
   const body = `answer to ${requestId}`;
   return [
     `HTTP/1.1 ${status} X`,
-    `x-id: ${requestId}`,
+    ...(namesRequest ? [`x-id: ${requestId}`] : []),
     'x-stamp: s',
     header,
     `content-length: ${body.length}`,
@@ -28,9 +33,15 @@
   { name: 'of an answer', status: 200, header: 'x-copy: 1' },
   { name: 'of a failure', status: 500, header: 'x-copy: 1' },
   { name: 'of a rejection', status: 503, header: 'x-not-run: 1' },
+  {
+    name: 'of a rejection that names no request',
+    status: 503,
+    header: 'x-not-run: 1',
+    namesRequest: false,
+  },
 ];
 
-copies.forEach(({ name, status, header }) =>
+copies.forEach(({ name, status, header, namesRequest = true }) =>
   test(`are given to no other caller: a copy ${name}`, async () => {
     const lastIds = new Map<net.Socket, string>();
     let reuseCount = 0;
@@ -41,7 +52,7 @@
       lastIds.set(request.socket, requestId);
       if (lastId !== undefined) {
         reuseCount += 1;
-        request.socket.write(encodeAnswer(status, lastId, header));
+        request.socket.write(encodeAnswer(status, lastId, header, namesRequest));
       }
       response.writeHead(200, { 'x-id': requestId, 'x-stamp': 's' }).end(`answer to ${requestId}`);
     };
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -71,8 +71,10 @@
   const answer = sent.value;
   const metadata = dependencies.targetWire.decodeResponse(answer.statusCode, answer.headers);
   const isSuccess = answer.statusCode >= 200 && answer.statusCode < 300;
+  // On a connection that has carried another request, a rejection without an id may be a copy of an earlier one.
+  const isUnprovenRejection = metadata.confirmsNotRun && answer.isConnectionReused;
   // Targets may omit the id from an error response, but not from one that the caller would accept as its result.
-  const mustNameRequest = isSuccess || metadata.requestId !== undefined;
+  const mustNameRequest = isSuccess || isUnprovenRejection || metadata.requestId !== undefined;
   if (mustNameRequest && metadata.requestId !== context.request.requestId) {
     answer.body.discard();
     const message = `the target answered request ${metadata.requestId ?? 'without id'} instead`;
--- a/packages/relay/src/targetSignals.test.ts
+++ b/packages/relay/src/targetSignals.test.ts
@@ -30,7 +30,8 @@
         const nowMs = performance.now();
         if (wait.fromMs === Infinity) wait = { fromMs: nowMs, untilMs: nowMs + waitMs };
         const leftMs = String(Math.round(Math.max(1, wait.untilMs - nowMs)));
-        const notRun = mood === 'asks to wait' ? { 'x-not-run': '1' } : {};
+        const proof = { 'x-not-run': '1', 'x-id': String(request.headers['x-id']) };
+        const notRun = mood === 'asks to wait' ? proof : {};
         response.writeHead(503, { ...notRun, 'x-wait-ms': leftMs }).end();
         return;
       }
--- a/packages/target-client/src/createBoundedAgent.ts
+++ b/packages/target-client/src/createBoundedAgent.ts
@@ -35,12 +35,19 @@
 
   return {
     connect: monitoredConnect,
+    hasDelivered: () => (socket?.bytesRead ?? 0) > 0,
     onProgress: () => {
       progressBytes = socket?.bytesRead ?? 0;
     },
   };
 };
 
+/** A request to a bounded agent. */
+export interface BoundedDispatchOptions extends undici.Dispatcher.DispatchOptions {
+  /** Called when the request is about to be written, with whether its connection has delivered bytes before. */
+  readonly onConnection?: (isReused: boolean) => void;
+}
+
 const createBoundedClient = (origin: URL, options: undici.Client.Options): undici.Client => {
   const { connect } = options;
   const connector = typeof connect === 'function' ? connect : undici.buildConnector({ ...connect });
@@ -48,10 +55,17 @@
   const client = new undici.Client(origin, { ...options, connect: monitor.connect, pipelining: 1 });
   const dispatch = client.dispatch.bind(client);
   return Object.assign(client, {
-    dispatch: (
-      request: undici.Dispatcher.DispatchOptions,
-      handler: undici.Dispatcher.DispatchHandler,
-    ) => dispatch(request, observeProgress(handler, monitor.onProgress)),
+    dispatch: (request: BoundedDispatchOptions, handler: undici.Dispatcher.DispatchHandler) =>
+      dispatch(
+        request,
+        observeProgress(handler, {
+          onStart: () => {
+            request.onConnection?.(monitor.hasDelivered());
+            monitor.onProgress();
+          },
+          onProgress: monitor.onProgress,
+        }),
+      ),
   });
 };
 
--- a/packages/target-client/src/dispatchRequest.ts
+++ b/packages/target-client/src/dispatchRequest.ts
@@ -1,4 +1,5 @@
 import type * as undici from 'undici';
+import type { BoundedDispatchOptions } from './createBoundedAgent';
 import {
   createResponseBody,
   type ResponseBody,
@@ -10,6 +11,8 @@
   readonly statusCode: number;
   readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
   readonly body: ResponseBody;
+  /** Whether the connection had delivered bytes before the request was written to it. */
+  readonly isConnectionReused: boolean;
 }
 
 /** Conditions under which a request is aborted or not sent. */
@@ -33,6 +36,13 @@
   new Promise((resolve, reject) => {
     let controller: undici.Dispatcher.DispatchController | undefined;
     let body: WritableResponseBody | undefined;
+    let isConnectionReused = false;
+    const observedOptions: BoundedDispatchOptions = {
+      ...options,
+      onConnection: (isReused) => {
+        isConnectionReused = isReused;
+      },
+    };
 
     const settle = (cause?: Error) => {
       body?.end(cause);
@@ -53,7 +63,7 @@
       return;
     }
     signal.addEventListener('abort', abort, { once: true });
-    dispatcher.dispatch(options, {
+    dispatcher.dispatch(observedOptions, {
       onRequestStart: (started) => {
         controller = started;
         if (signal.aborted) started.abort(reasonOf(signal));
@@ -62,7 +72,7 @@
       onResponseStart: (started, statusCode, headers) => {
         if (statusCode < firstFinalStatus) return;
         body = createResponseBody(started);
-        resolve({ statusCode, headers, body });
+        resolve({ statusCode, headers, body, isConnectionReused });
       },
       onResponseData: (_controller, chunk) => body?.push(chunk),
       onResponseEnd: () => end(),
--- a/packages/target-client/src/observeProgress.ts
+++ b/packages/target-client/src/observeProgress.ts
@@ -4,13 +4,23 @@
 
 const firstFinalStatus = 200;
 
+/** Observers of one request. */
+export interface ProgressObservers {
+  /** Called when the request is about to be written to a connection. */
+  readonly onStart: () => void;
+  readonly onProgress: () => void;
+}
+
 /**
- * Calls `onProgress` when a request starts, at the final response head and at each part of the body. Clients of an agent
+ * Calls `onStart` when a request starts, and `onProgress` at the final response head and at each part of the body. Clients of an agent
  * get handlers of undici's older interface only, which delivers the header fields as received.
  */
-export const observeProgress = (handler: Handler, onProgress: () => void): Handler => ({
+export const observeProgress = (
+  handler: Handler,
+  { onStart, onProgress }: ProgressObservers,
+): Handler => ({
   onConnect: (abort) => {
-    onProgress();
+    onStart();
     handler.onConnect?.(abort);
   },
   onHeaders: (statusCode, headers, resume, statusText) => {
