Handover: a request is served by no older plan than that of the daemon that hands it over

A daemon that reaches no target hands requests over to one that does. That one may have an older plan, as check-ins bring it a change up to 0.4 s later or it has lost the store. So callers of one daemon saw a new version, and then the old one.

Cause: the receiver admits by its own plan, and nothing told it which plan had admitted the request. Fix: the revision passes in a header; a receiver with an older plan reads the store first, and refuses with 503, not run, without it. A daemon of an earlier build neither sends nor reads the header.

Red before: handover 'are served by no older plan than that of the daemon that hands them over' (200 in place of 503), admitRequest 'admits a request that was handed over by no older plan than the other daemon has'.

--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -35,6 +35,8 @@
    * plan from the store if the other daemon has a newer one.
    */
   readonly applyShared: (shared: SharedPlan, askedAt: clocks.Timestamp) => void;
+  /** Learns that another daemon has a plan of this revision. */
+  readonly announce: (revision: number) => void;
   /**
    * Returns the plan that was in force at most `maxAgeMs` ago and to which no other daemon has named
    * a newer one. It may be newer than the current one of before the call; undefined if reading the
@@ -171,7 +173,8 @@
     return pendingRead;
   };
 
-  const recordNewerRevision = (revision: number) => {
+  const announce = (revision: number) => {
+    if (plan !== undefined && revision <= plan.revision) return;
     if (announced !== undefined && announced.revision >= revision) return;
     announced = { revision, atMs: clock.monotonicMs() };
     const fields = { step: 'plan', revision, before: plan?.revision, ageMs: Math.round(ageMs()) };
@@ -202,13 +205,14 @@
       plan === undefined || !isReadable ? undefined : { revision: plan.revision, ageMs: ageMs() },
     applyShared: (shared, askedAt) => {
       if (plan === undefined || shared.revision > plan.revision) {
-        recordNewerRevision(shared.revision);
+        announce(shared.revision);
         void readPlanOnce();
         return;
       }
       if (shared.revision < plan.revision) return;
       confirm(clocks.subtractDuration(askedAt, shared.ageMs));
     },
+    announce,
     confirmPlan: async (maxAgeMs) => {
       if (!isConfirmed(maxAgeMs)) await readPlanOnce();
       return isConfirmed(maxAgeMs) ? plan : undefined;
--- a/packages/relay/src/CallerRequest.ts
+++ b/packages/relay/src/CallerRequest.ts
@@ -38,6 +38,8 @@
 export interface Handover {
   /** Number of targets that may still run the request. */
   readonly remainingRuns: number;
+  /** Revision of the plan that admitted the request; undefined if the other daemon is of a build that doesn't tell. */
+  readonly planRevision: number | undefined;
 }
 
 /** A request that is handed over to another daemon. */
--- a/packages/relay/src/RequestContext.ts
+++ b/packages/relay/src/RequestContext.ts
@@ -5,6 +5,8 @@
 /** A request whose route is resolved and whose body has been read. */
 export interface RequestContext {
   readonly request: CallerRequest;
+  /** Revision of the plan that admitted the request. */
+  readonly planRevision: number;
   readonly route: fleet.Route;
   readonly service: fleet.Service;
   readonly customerName: string | undefined;
--- a/packages/relay/src/admitRequest.test.ts
+++ b/packages/relay/src/admitRequest.test.ts
@@ -41,11 +41,19 @@
       currentAgeMs = 0;
       return plan;
     },
+    announce: () => {
+      currentAgeMs = Infinity;
+    },
     readCount: () => readCount,
   };
 };
 
-const request = (path: string, key = 'key-1') => ({ host: 'desk.example', path, key });
+const request = (path: string, key = 'key-1', planRevision?: number) => ({
+  host: 'desk.example',
+  path,
+  key,
+  handover: planRevision === undefined ? undefined : { remainingRuns: 1, planRevision },
+});
 
 const admit = async (
   tracker: ReturnType<typeof createTracker>,
@@ -96,6 +104,17 @@
   assert.is(await admit(createTracker(10_000, undefined), '/filings/1'), refusal);
 });
 
+test('admits a request that was handed over by no older plan than the other daemon has', async () => {
+  const tracker = createTracker(100, after);
+  assert.is(await admit(tracker, '/filings/1', 'key-1', 8), '/filings/ of 8 for customer of key-1');
+  assert.is(await admit(createTracker(100, after), '/dropped/1', 'key-1', 8), '404 no-route by 8');
+  const unconfirmed = await admit(createTracker(100, undefined), '/filings/1', 'key-1', 8);
+  assert.is(unconfirmed, '503 plan-out-of-date by undefined');
+  const known = createTracker(100, after);
+  assert.is(await admit(known, '/filings/1', 'key-1', 7), '/filings/ of 7 for customer of key-1');
+  assert.is(known.readCount(), 0);
+});
+
 test('admits without a read where the plan is confirmed, or the route needs no key', async () => {
   const confirmed = createTracker(100, after);
   assert.is(await admit(confirmed, '/filings/1'), '/filings/ of 7 for customer of key-1');
--- a/packages/relay/src/admitRequest.ts
+++ b/packages/relay/src/admitRequest.ts
@@ -22,7 +22,7 @@
 const refuse = (refusal: Refusal): Admission => ({ kind: 'refused', refusal });
 
 /**
- * Admits a request by the current plan. A denial is final for the caller, and a key may have been revoked, so both need
+ * Admits a request by the current plan, which is at least that of a daemon that has handed it over. A denial is final for the caller, and a key may have been revoked, so both need
  * a plan that was lately confirmed to be in force; without one the request is refused and may come again.
  */
 export const admitRequest = async (
@@ -31,9 +31,9 @@
     keyValidityMs,
     denialValidityMs,
   }: Pick<RelayDependencies, 'keyValidityMs' | 'denialValidityMs'> & {
-    readonly plan: Pick<fleet.PlanTracker, 'current' | 'ageMs' | 'confirmPlan'>;
+    readonly plan: Pick<fleet.PlanTracker, 'current' | 'ageMs' | 'announce' | 'confirmPlan'>;
   },
-  request: Pick<CallerRequest, 'host' | 'path' | 'key'>,
+  request: Pick<CallerRequest, 'host' | 'path' | 'key' | 'handover'>,
 ): Promise<Admission> => {
   const known = tracker.current();
   if (known === undefined) {
@@ -46,14 +46,23 @@
     return access.customer === undefined ? Infinity : keyValidityMs;
   };
 
+  const refuseStalePlan = () => {
+    const message = `the traffic plan was last proved in force ${Math.round(tracker.ageMs())} ms ago`;
+    return refuse(createNotRunRefusal('plan-out-of-date', message, stalePlanRetryAfterMs));
+  };
+
   let plan = known;
+  const { planRevision = plan.revision } = request.handover ?? {};
+  if (planRevision > plan.revision) {
+    tracker.announce(planRevision);
+    const confirmed = await tracker.confirmPlan(denialValidityMs);
+    if (confirmed === undefined) return refuseStalePlan();
+    plan = confirmed;
+  }
   let access = resolveAccess(plan, request);
   while (access.kind === 'denied' || tracker.ageMs() > maxAgeMsFor(access)) {
     const confirmed = await tracker.confirmPlan(maxAgeMsFor(access));
-    if (confirmed === undefined) {
-      const message = `the traffic plan was last proved in force ${Math.round(tracker.ageMs())} ms ago`;
-      return refuse(createNotRunRefusal('plan-out-of-date', message, stalePlanRetryAfterMs));
-    }
+    if (confirmed === undefined) return refuseStalePlan();
     const wasDenied = access.kind === 'denied';
     plan = confirmed;
     access = resolveAccess(plan, request);
--- a/packages/relay/src/handover.test.ts
+++ b/packages/relay/src/handover.test.ts
@@ -72,6 +72,34 @@
   });
 });
 
+test('are served by no older plan than that of the daemon that hands them over', async () => {
+  const network = testing.createFakeNetwork();
+  const target = createTarget(answerOk);
+  const helperOptions = {
+    network,
+    route: filing,
+    name: 'helper',
+    planRevision: 7,
+    storedPlan: { planRevision: 8, route: { ...filing, shares: [] } },
+    targets: [{ id: 'h1', listener: target.listener }],
+  };
+  const cutOptions = {
+    network,
+    route: filing,
+    name: 'cut',
+    planRevision: 8,
+    peerAddresses: () => ['helper'],
+    targets: ['t1', 't2'].map((id) => ({ id, listener: answerOk })),
+  };
+  await withRelay(helperOptions, () =>
+    withRelay(cutOptions, async (cut) => {
+      endTargets(cut);
+      assert.is((await call(cut.url)).status, 503);
+      assert.is(target.requests.length, 0, 'run by a service of the older plan');
+    }),
+  );
+});
+
 test('that may run once do not run again when the other daemon fails after it took them', async () => {
   const target = createTarget((_request, response) => response.destroy());
   const targets = { cutTarget: answerOk, helperTarget: target.listener };
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -101,7 +101,7 @@
 
 const headersFor = (
   { targetWire, callerWire }: RelayDependencies,
-  { request, customerName, targetPriority, route }: RequestContext,
+  { request, planRevision, customerName, targetPriority, route }: RequestContext,
   { candidate, resumeAfterEventId }: SendOptions,
   remainingMs: number,
 ): readonly string[] => {
@@ -112,7 +112,8 @@
     return targetWire.requestHeaders(request, dispatch);
   }
   const { remainingRuns = route.maxTargets } = candidate;
-  return callerWire.handoverHeaders(request, { remainingMs, remainingRuns, resumeAfterEventId });
+  const handover = { remainingMs, remainingRuns, planRevision, resumeAfterEventId };
+  return callerWire.handoverHeaders(request, handover);
 };
 
 /** Records what a target says about itself in the head of an answer. */
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -58,6 +58,7 @@
   const timeLimitMs = Math.min(route.timeoutMs, request.timeLimitMs ?? Infinity);
   const context: RequestContext = {
     request,
+    planRevision: plan.revision,
     route,
     service,
     customerName,
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -19,6 +19,10 @@
   /** Heads of open groups for a stream route, targets without groups for any other. */
   readonly targets: readonly TestTarget[];
   readonly planAgeMs?: () => number;
+  /** Revision of the relay's plan. */
+  readonly planRevision?: number;
+  /** The plan in the store, which the relay reads when it needs a confirmation; by default the one it has. */
+  readonly storedPlan?: Pick<TestRelayOptions, 'planRevision' | 'route'>;
   /** Whether a probe finds a member of a silent group lost. */
   readonly confirmLoss?: () => boolean;
   readonly slots?: number;
@@ -89,11 +93,11 @@
 export const otherPathPrefix = '/another-service/';
 const otherShares = [{ serviceName: 'other', weight: 1 }] as const;
 
-const createPlan = (options: TestRelayOptions): fleet.TrafficPlan => {
+const createPlan = (options: Omit<TestRelayOptions, 'targets'>): fleet.TrafficPlan => {
   const route = { ...defaultRoute, ...options.route };
   const slotsPerGroup = options.slots ?? engine.slotsPerGroup;
   return {
-    revision: 7,
+    revision: options.planRevision ?? 7,
     routes: [route, { ...route, name: 'other', pathPrefix: otherPathPrefix, shares: otherShares }],
     services: new Map([
       [
@@ -126,6 +130,7 @@
     const limit = message.headers['x-limit-ms'];
     const last = message.headers['last-event-id'];
     const runs = message.headers['x-handover'];
+    const planRevision = message.headers['x-handover-plan'];
     return {
       requestId: String(message.headers['x-id']),
       method: message.method ?? 'GET',
@@ -135,7 +140,14 @@
       headers: relay.endToEndHeaders(
         message.rawHeaders,
         message.headers.connection,
-        new Set(['x-key', 'content-length', 'last-event-id', 'x-handover', 'x-limit-ms']),
+        new Set([
+          'x-key',
+          'content-length',
+          'last-event-id',
+          'x-handover',
+          'x-handover-plan',
+          'x-limit-ms',
+        ]),
       ),
       key: message.headers['x-key'] as string | undefined,
       timeLimitMs: limit === undefined ? undefined : Number(limit),
@@ -144,15 +156,23 @@
         .split(',')
         .filter((id) => id !== ''),
       lastEventId: last === undefined ? undefined : Number(last),
-      handover: runs === undefined ? undefined : { remainingRuns: Number(runs) },
+      handover:
+        runs === undefined
+          ? undefined
+          : { remainingRuns: Number(runs), planRevision: Number(planRevision) },
     };
   },
-  handoverHeaders: ({ headers, key }, { remainingMs, remainingRuns, resumeAfterEventId }) => [
+  handoverHeaders: (
+    { headers, key },
+    { remainingMs, remainingRuns, planRevision, resumeAfterEventId },
+  ) => [
     ...headers,
     'x-limit-ms',
     String(remainingMs),
     'x-handover',
     String(remainingRuns),
+    'x-handover-plan',
+    String(planRevision),
     ...(key === undefined ? [] : ['x-key', key]),
     ...(resumeAfterEventId === undefined ? [] : ['last-event-id', String(resumeAfterEventId)]),
   ],
@@ -212,7 +232,8 @@
 
 /** Starts a relay in front of the targets of a test. */
 export const createTestRelay = async (options: TestRelayOptions): Promise<TestRelay> => {
-  const plan = createPlan(options);
+  let plan = createPlan(options);
+  let announcedRevision = plan.revision;
   const isStream = plan.routes[0]!.kind === 'stream';
   const servers = new Map<string, http.Server>();
   const targets = new Map<string, fleet.Target>();
@@ -258,7 +279,15 @@
       ageMs,
       share: () => undefined,
       applyShared: () => {},
-      confirmPlan: async (maxAgeMs) => (ageMs() <= maxAgeMs ? plan : undefined),
+      announce: (revision) => {
+        announcedRevision = revision;
+      },
+      confirmPlan: async (maxAgeMs) => {
+        if (announcedRevision > plan.revision && options.storedPlan !== undefined) {
+          plan = createPlan({ ...options, ...options.storedPlan });
+        }
+        return ageMs() <= maxAgeMs ? plan : undefined;
+      },
       component: { name: 'plan' },
     },
     targets: {
