Traffic plan: a plan that another daemon has named is confirmed also by a read from before

Found reading the diff: an announcement ended only with a read that began after it, though an earlier read had brought the announced plan. Until the next check-in a daemon then refused denials that it could have confirmed. Red before: 'confirms the plan that another daemon has named when a read from before brings it'.

--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -131,6 +131,20 @@
   assert.is((await tracker.confirmPlan(inForceMs))?.revision, 5);
 });
 
+test('confirms the plan that another daemon has named when a read from before brings it', async () => {
+  const { tracker, clock, client } = createStandbyTracker({ list: [stored(4, 10)], version: 10 });
+  await tracker.component.start?.();
+  await waitForUpdates();
+  clock.advance(inForceMs / 2);
+  const reading = tracker.confirmPlan(0);
+  clock.advance(10);
+  tracker.applyShared({ revision: 5, ageMs: 0 }, clocks.readTimestamp(clock));
+  client.add({ object: stored(5, 11) });
+  await reading;
+  const confirmed = await Promise.race([tracker.confirmPlan(inForceMs), waitForUpdates()]);
+  assert.is((confirmed as fleet.TrafficPlan | undefined)?.revision, 5);
+});
+
 test('makes few calls for many requests that need a confirmation which the store does not give', async () => {
   const failures = Array.from({ length: 100 }, () => ({ fail: 'refused' as const }));
   const { tracker, clock, client } = createTracker({ list: [stored(4, 10)], version: 10 });
--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -113,7 +113,10 @@
     plan = next;
   };
 
-  const isConfirmed = (maxAgeMs: number) => announced === undefined && ageMs() <= maxAgeMs;
+  const isOutdated = () =>
+    announced !== undefined && announced.revision > (plan?.revision ?? -Infinity);
+
+  const isConfirmed = (maxAgeMs: number) => !isOutdated() && ageMs() <= maxAgeMs;
 
   const confirm = (moment: clocks.Timestamp) => {
     if (!isReadable) return;
--- a/packages/relay/src/createResumeCheck.ts
+++ b/packages/relay/src/createResumeCheck.ts
@@ -31,7 +31,7 @@
 export const createResumeCheck = (progress: StreamProgress): ResumeCheck => {
   const { lastEventId } = progress.read();
   let isFirst = true;
-  const describeText = (bytes: Buffer) =>
+  const findTextFault = (bytes: Buffer) =>
     isEventStream(bytes) ? undefined : 'the answer holds text that is no event';
   return {
     checkHead: ({ headers }) => {
@@ -44,8 +44,8 @@
       const needsId = isFirst && lastEventId !== undefined;
       isFirst = false;
       if (needsId && id === undefined) return `an event without id came after event ${lastEventId}`;
-      return describeText(bytes);
+      return findTextFault(bytes);
     },
-    checkComments: describeText,
+    checkComments: findTextFault,
   };
 };
