Logs: how the plan that denied a request was confirmed, and how long a planned stop had gone on

A request that was cut at the end of a stop looked as if its caller had left, and one that was turned away on a late connection had no line (drainingMs).

--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -145,6 +145,24 @@
   assert.is((confirmed as fleet.TrafficPlan | undefined)?.revision, 5);
 });
 
+test('tells whether the store, a read or another daemon has confirmed the plan last', async () => {
+  const { tracker, clock } = createStandbyTracker(
+    { list: [stored(4, 10)], version: 10 },
+    { object: stored(4, 10) },
+  );
+  assert.is(tracker.confirmedBy(), undefined);
+  await tracker.component.start?.();
+  await waitForUpdates();
+  assert.is(tracker.confirmedBy(), 'watch');
+  clock.advance(inForceMs / 2);
+  await tracker.confirmPlan(0);
+  assert.is(tracker.confirmedBy(), 'read');
+  clock.advance(100);
+  tracker.applyShared({ revision: 4, ageMs: 50 }, clocks.readTimestamp(clock));
+  assert.is(tracker.confirmedBy(), 'daemon');
+  assert.is(tracker.ageMs(), 50);
+});
+
 test('makes few calls for many requests that need a confirmation which the store does not give', async () => {
   const failures = Array.from({ length: 100 }, () => ({ fail: 'refused' as const }));
   const { tracker, clock, client } = createTracker({ list: [stored(4, 10)], version: 10 });
--- a/packages/fleet/src/createPlanTracker.ts
+++ b/packages/fleet/src/createPlanTracker.ts
@@ -17,6 +17,9 @@
   readonly ageMs: number;
 }
 
+/** How a daemon knows that its plan is in force: it watched the store, read it, or heard it of another daemon. */
+export type PlanConfirmation = 'watch' | 'read' | 'daemon';
+
 /** Tracks the traffic plan in force. */
 export interface PlanTracker {
   /** Returns the latest plan that was read; undefined before the first. */
@@ -25,6 +28,8 @@
    * Returns the maximum staleness of the plan; infinite until it is first confirmed to be in force.
    */
   readonly ageMs: () => number;
+  /** Returns where the confirmation comes from by which the plan is `ageMs` old; undefined before the first. */
+  readonly confirmedBy: () => PlanConfirmation | undefined;
   /**
    * Returns the revision with which another daemon can confirm that its plan is in force; undefined
    * without a plan, or if the last value that was read is invalid.
@@ -81,6 +86,7 @@
   const abort = new AbortController();
   let plan: TrafficPlan | undefined;
   let confirmedAt: clocks.Timestamp | undefined;
+  let confirmedBy: PlanConfirmation | undefined;
   let isReadable = false;
   let pendingRead: Promise<void> | undefined;
   let unconfirmedReadAtMs = -Infinity;
@@ -118,13 +124,14 @@
 
   const isConfirmed = (maxAgeMs: number) => !isOutdated() && ageMs() <= maxAgeMs;
 
-  const confirm = (moment: clocks.Timestamp) => {
+  const confirm = (moment: clocks.Timestamp, by: PlanConfirmation) => {
     if (!isReadable) return;
     if (announced !== undefined && moment.monotonicMs >= announced.atMs) announced = undefined;
     if (isFailing) log.info({ step: 'plan', peer: 'store' }, 'store is reachable again');
     isFailing = false;
-    if (confirmedAt === undefined || moment.monotonicMs >= confirmedAt.monotonicMs)
-      confirmedAt = moment;
+    if (confirmedAt !== undefined && moment.monotonicMs < confirmedAt.monotonicMs) return;
+    confirmedAt = moment;
+    confirmedBy = by;
   };
 
   const recordFailure = (failure: objectStore.PlatformFailure) => {
@@ -152,7 +159,7 @@
       objects.filter(isPlan).forEach((object) => applyObject(object, 'list')),
     onChange: (batch) =>
       batch.changed.filter(isPlan).forEach((object) => applyObject(object, 'watch')),
-    onSynced: confirm,
+    onSynced: (moment) => confirm(moment, 'watch'),
     onFailure: recordFailure,
   });
 
@@ -161,7 +168,7 @@
     const result = await client.get(source.key, 'safety');
     if (result.ok) {
       applyObject(result.value, 'read');
-      confirm(askedAt);
+      confirm(askedAt, 'read');
     } else recordFailure(result.error);
     const isPlanConfirmed = result.ok && isReadable;
     readCounts[isPlanConfirmed ? 'confirmed' : 'unconfirmed'] += 1;
@@ -204,6 +211,7 @@
   return {
     current: () => plan,
     ageMs,
+    confirmedBy: () => confirmedBy,
     share: () =>
       plan === undefined || !isReadable ? undefined : { revision: plan.revision, ageMs: ageMs() },
     applyShared: (shared, askedAt) => {
@@ -213,7 +221,7 @@
         return;
       }
       if (shared.revision < plan.revision) return;
-      confirm(clocks.subtractDuration(askedAt, shared.ageMs));
+      confirm(clocks.subtractDuration(askedAt, shared.ageMs), 'daemon');
     },
     announce,
     confirmPlan: async (maxAgeMs) => {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -16,6 +16,7 @@
 export { findRoute } from './findRoute';
 export {
   createPlanTracker,
+  type PlanConfirmation,
   type PlanTracker,
   type PlanTrackerOptions,
   type PlanSource,
--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -36,10 +36,11 @@
   readonly decidedBy?: PlanState;
 }
 
-/** Revision and age of a traffic plan. */
+/** Revision and age of a traffic plan, and how the age is known. */
 export interface PlanState {
   readonly revision: number;
   readonly ageMs: number;
+  readonly confirmedBy: fleet.PlanConfirmation | undefined;
 }
 
 const unavailableStatus = 503;
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -67,4 +67,6 @@
   readonly targetReach: TargetReach;
   readonly demandCounter: DemandCounter;
   readonly targetSignals: TargetSignals;
+  /** Returns how long the daemon has been draining; undefined while it is not. */
+  readonly drainingMs: () => number | undefined;
 }
--- a/packages/relay/src/admitRequest.test.ts
+++ b/packages/relay/src/admitRequest.test.ts
@@ -33,6 +33,7 @@
   return {
     current: () => plan,
     ageMs: () => currentAgeMs,
+    confirmedBy: () => 'read' as const,
     confirmPlan: async (maxAgeMs: number) => {
       if (currentAgeMs <= maxAgeMs) return plan;
       readCount += 1;
--- a/packages/relay/src/admitRequest.ts
+++ b/packages/relay/src/admitRequest.ts
@@ -22,8 +22,9 @@
 const refuse = (refusal: Refusal): Admission => ({ kind: 'refused', refusal });
 
 /**
- * Admits a request by the current plan, which is at least that of a daemon that has handed it over. A denial is final for the caller, and a key may have been revoked, so both need
- * a plan that was lately confirmed to be in force; without one the request is refused and may come again.
+ * Admits a request by the current plan, which is at least that of a daemon that has handed it over. A denial is final
+ * for the caller, and a key may have been revoked, so both need a plan that was lately confirmed to be in force;
+ * without one the request is refused and may come again.
  */
 export const admitRequest = async (
   {
@@ -31,7 +32,10 @@
     keyValidityMs,
     denialValidityMs,
   }: Pick<RelayDependencies, 'keyValidityMs' | 'denialValidityMs'> & {
-    readonly plan: Pick<fleet.PlanTracker, 'current' | 'ageMs' | 'announce' | 'confirmPlan'>;
+    readonly plan: Pick<
+      fleet.PlanTracker,
+      'current' | 'ageMs' | 'confirmedBy' | 'announce' | 'confirmPlan'
+    >;
   },
   request: Pick<CallerRequest, 'host' | 'path' | 'key' | 'handover'>,
 ): Promise<Admission> => {
@@ -68,7 +72,11 @@
     access = resolveAccess(plan, request);
     if (wasDenied && access.kind === 'denied') {
       const { cause, message } = access;
-      const decidedBy = { revision: plan.revision, ageMs: tracker.ageMs() };
+      const decidedBy = {
+        revision: plan.revision,
+        ageMs: tracker.ageMs(),
+        confirmedBy: tracker.confirmedBy(),
+      };
       const statusCode = denialStatuses[cause];
       return refuse({ cause, statusCode, ran: 'not-run', message, decidedBy });
     }
--- a/packages/relay/src/createCallerListener.ts
+++ b/packages/relay/src/createCallerListener.ts
@@ -11,7 +11,8 @@
 /** The HTTP listener for callers. */
 export interface CallerListener {
   readonly component: lifecycle.Component;
-  readonly isDraining: () => boolean;
+  /** Returns how long the daemon has been draining; undefined while it is not. */
+  readonly drainingMs: () => number | undefined;
   readonly hasReceivedRequests: () => boolean;
   /** Marks the daemon as draining and requests that callers close their connections; requests are still served. */
   readonly drain: () => void;
@@ -46,7 +47,7 @@
 ): CallerListener => {
   const { clock, log, plan, callerWire } = dependencies;
   let openRequestCount = 0;
-  let isDraining = false;
+  let drainingSinceMs: number | undefined;
   let hasReceivedRequest = false;
 
   /** Applies the idle timeout of the current plan; assigned once the server exists. */
@@ -64,11 +65,17 @@
       response.once('close', () => {
         openRequestCount -= 1;
       });
-      if (isDraining) response.setHeader('connection', 'close');
+      if (drainingSinceMs !== undefined) response.setHeader('connection', 'close');
       if (acceptQueue.isLate(request.socket)) {
         const refusal = createShutdownRefusal();
         const callerRequest = callerWire.readRequest(request);
         writeRefusal(response, refusal, callerWire.responseHeaders(callerRequest, refusal.ran));
+        const { requestId } = callerRequest;
+        const { cause, statusCode } = refusal;
+        log.info(
+          { requestId, step: 'request', kind: 'refused', cause, statusCode },
+          'request ended',
+        );
         return;
       }
       applyIdleTimeout();
@@ -92,13 +99,14 @@
   };
 
   const drain = () => {
-    if (isDraining) return;
-    isDraining = true;
+    if (drainingSinceMs !== undefined) return;
+    drainingSinceMs = clock.monotonicMs();
     log.info({ step: 'drain', openRequests: openRequestCount }, 'draining');
   };
 
   return {
-    isDraining: () => isDraining,
+    drainingMs: () =>
+      drainingSinceMs === undefined ? undefined : clock.monotonicMs() - drainingSinceMs,
     hasReceivedRequests: () => hasReceivedRequest,
     drain,
     component: {
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -212,7 +212,7 @@
     signals: targetSignals,
   });
   /** Assigned once the listener exists. */
-  let isDraining = () => false;
+  let drainingMs = (): number | undefined => undefined;
   const targetReach = createTargetReach({
     ...options.reach,
     clock,
@@ -220,7 +220,7 @@
     random: options.random,
     failureDomain: options.failureDomain,
     callerAddress: `${options.host}:${options.port}`,
-    isDraining: () => isDraining(),
+    isDraining: () => drainingMs() !== undefined,
     services: () => [...(plan.current()?.services.values() ?? [])],
     candidatesOf: (service) => directory.allTargets(service, clock.monotonicMs()),
     probe: (candidate) =>
@@ -272,14 +272,15 @@
     targetReach,
     demandCounter,
     targetSignals,
+    drainingMs: () => drainingMs(),
   };
   const callerListener = createCallerListener(dependencies, options);
-  isDraining = callerListener.isDraining;
+  drainingMs = callerListener.drainingMs;
   hasReceivedRequests = callerListener.hasReceivedRequests;
   let lastReady: boolean | undefined;
 
   const evaluateReadiness = () => {
-    if (callerListener.isDraining()) return { ready: false, reason: 'the daemon is draining' };
+    if (drainingMs() !== undefined) return { ready: false, reason: 'the daemon is draining' };
     if (plan.current() === undefined) return { ready: false, reason: 'no traffic plan is known' };
     if (!targets.isLoaded()) return { ready: false, reason: 'the targets are not known yet' };
     if (!evacuations.isKnown()) {
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -102,7 +102,11 @@
   const decision =
     decidedBy === undefined
       ? {}
-      : { decidedByRevision: decidedBy.revision, decidedByAgeMs: Math.round(decidedBy.ageMs) };
+      : {
+          decidedByRevision: decidedBy.revision,
+          decidedByAgeMs: Math.round(decidedBy.ageMs),
+          planConfirmedBy: decidedBy.confirmedBy,
+        };
   return { kind: result.kind, cause, statusCode, ran, message, retryAfterMs, ...decision };
 };
 
@@ -136,6 +140,7 @@
   const sharedPartIds = sharedPartIdsOf(request).slice(0, maxLoggedParts);
   const placement = dependencies.placing.recordOf(request);
   const waitedMs = dependencies.dispatchQueues.waitedMsOf(request);
+  const drainingMs = dependencies.drainingMs();
   log.info(
     {
       requestId: request.requestId,
@@ -158,6 +163,7 @@
           }),
       ...(waitedMs === undefined ? {} : { waitedMs: Math.round(waitedMs) }),
       ...(isCutOff ? { isCutOff } : {}),
+      ...(drainingMs === undefined ? {} : { drainingMs: Math.round(drainingMs) }),
       ...(request.handover === undefined ? {} : { isHandedOver: true }),
     },
     'request ended',
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -277,6 +277,7 @@
     plan: {
       current: () => plan,
       ageMs,
+      confirmedBy: () => 'read',
       share: () => undefined,
       applyShared: () => {},
       announce: (revision) => {
