Planned stop: no request is passed on that can't end in time, and none is cut without an answer

What callers saw: in a planned stop, in calm, requests on connections that had been opened before and not used were taken until the end of the grace period, passed on to targets and cut without an answer, among them requests that may run only once.

Cause: the listener served whatever arrived until its deadline and never asked whether it could end by then; connections without a first request are not idle to Node, so nothing closed them; at the deadline all open connections were closed, whatever was in progress.

Why this works: the period of a planned stop is an object of its own that begins with SIGTERM. The allowance, which decides on every run, starts no first run that is not expected to end in what is left of it: by what requests of the route have taken lately, and after the notice period by the time limit where a request may run only once. Others get 503, not run, at once. What is still in progress at the end is aborted and answered: 503 if it has reached no target, 502 with an unknown outcome otherwise; a stream that has begun is cut so that it doesn't look complete, and no target is suspected for it.

--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -65,10 +65,16 @@
 /** The other daemons take callers of one that is shutting down at once. */
 const shutdownRetryAfterMs = 50;
 
-/** Creates the refusal of a request that came after the daemon had stopped taking new connections. */
+/** Creates the refusal of a request that came too late to be served before the daemon stops. */
 export const createShutdownRefusal = (): Refusal =>
   createNotRunRefusal('shutting-down', 'the daemon is shutting down', shutdownRetryAfterMs);
 
+/** Creates the refusal of a request that had not ended when the daemon had to stop. */
+export const createStopRefusal = (runCount: number): Refusal =>
+  runCount === 0
+    ? createShutdownRefusal()
+    : createFailureRefusal('shutting-down', 'the daemon stops while the request is still running');
+
 const minLimitRetryAfterMs = 50;
 
 /** Creates the refusal of a request whose possible targets have all reached the limits that they name. */
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -1,11 +1,13 @@
 import type * as clocks from '@comfreydrum/clock';
 import type * as fleet from '@comfreydrum/fleet';
+import type * as lifecycle from '@comfreydrum/lifecycle';
 import type * as routing from '@comfreydrum/routing';
 import type * as targetClient from '@comfreydrum/target-client';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { CallerWire } from './CallerRequest';
 import type { CrashMonitor, EndedMember } from './crashes/createCrashMonitor';
 import type { DemandCounter } from './demand/createDemandCounter';
+import type { DurationEstimates } from './createDurationEstimates';
 import type { RelayMetrics } from './createRelayMetrics';
 import type { ServiceRetryBudgets } from './createServiceRetryBudgets';
 import type { StallMonitor } from './createStallMonitor';
@@ -67,6 +69,7 @@
   readonly targetReach: TargetReach;
   readonly demandCounter: DemandCounter;
   readonly targetSignals: TargetSignals;
-  /** Returns how long the daemon has been draining; undefined while it is not. */
-  readonly drainingMs: () => number | undefined;
+  /** The planned stop of the daemon. */
+  readonly drain: lifecycle.DrainPeriod;
+  readonly durations: DurationEstimates;
 }
--- a/packages/relay/src/RequestContext.ts
+++ b/packages/relay/src/RequestContext.ts
@@ -24,6 +24,8 @@
   /** Deadline on the monotonic clock. */
   readonly deadlineAtMs: number;
   readonly callerDisconnected: AbortSignal;
+  /** Aborts when the daemon has to stop and the request must end. */
+  readonly mustEnd: AbortSignal;
   /**
    * Reports whether the caller's key is still valid. Called in the same event loop tick in which the request is
    * written to a target.
--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -47,8 +47,9 @@
   const { targetTracker, clock } = dependencies;
   const sentAtMs = clock.monotonicMs();
   const deadline = AbortSignal.timeout(Math.max(1, Math.ceil(context.deadlineAtMs - sentAtMs)));
-  const signal = AbortSignal.any([deadline, stopSignal, context.callerDisconnected]);
-  const isUnwanted = () => stopSignal.aborted || context.callerDisconnected.aborted;
+  const { callerDisconnected, mustEnd } = context;
+  const signal = AbortSignal.any([deadline, stopSignal, callerDisconnected, mustEnd]);
+  const isUnwanted = () => stopSignal.aborted || callerDisconnected.aborted || mustEnd.aborted;
   targetTracker.onSend(candidate.key, sentAtMs);
   try {
     const sent = await sendToTarget(dependencies, context, {
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -233,7 +233,8 @@
   const { targetTracker, clock } = dependencies;
   const { candidate, progress, control } = attempt;
   const deadline = new AbortController();
-  const signal = AbortSignal.any([deadline.signal, control.signal, context.callerDisconnected]);
+  const { callerDisconnected, mustEnd } = context;
+  const signal = AbortSignal.any([deadline.signal, control.signal, callerDisconnected, mustEnd]);
   const deadlineTimer = setTimeout(
     () => deadline.abort(new Error('the time limit of the request passed')),
     Math.max(0, context.deadlineAtMs - clock.monotonicMs()),
@@ -245,12 +246,13 @@
   let isComplete = false;
 
   const fail = (failure: SendFailure): StreamResult => {
-    const isUnwanted = context.callerDisconnected.aborted || control.signal.aborted;
-    if (!isUnwanted && failure.excuse === undefined)
+    const isUnwanted = callerDisconnected.aborted || control.signal.aborted;
+    const excuse = mustEnd.aborted ? 'stop' : failure.excuse;
+    if (!isUnwanted && excuse === undefined)
       targetTracker.onFailure(candidate.key, clock.monotonicMs());
     const reason: unknown = deadline.signal.reason;
     const message = reason instanceof Error ? reason.message : failure.message;
-    return { kind: 'failed', failure: { ...failure, message } };
+    return { kind: 'failed', failure: { ...failure, message, excuse } };
   };
 
   const { eventCount, lastEventId } = progress.read();
--- a/packages/relay/src/createCallerListener.ts
+++ b/packages/relay/src/createCallerListener.ts
@@ -11,8 +11,6 @@
 /** The HTTP listener for callers. */
 export interface CallerListener {
   readonly component: lifecycle.Component;
-  /** Returns how long the daemon has been draining; undefined while it is not. */
-  readonly drainingMs: () => number | undefined;
   readonly hasReceivedRequests: () => boolean;
   /** Marks the daemon as draining and requests that callers close their connections; requests are still served. */
   readonly drain: () => void;
@@ -34,6 +32,8 @@
  */
 const keepAliveMarginMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
+/** Time to answer the requests that are still in progress when the time to drain is over. */
+const finalAnswerMs = 200;
 const drainPollMs = 25;
 /** Time without open requests before the listener closes, since a request may still be arriving. */
 const minIdleMs = 100;
@@ -45,9 +45,8 @@
   dependencies: RelayDependencies,
   options: CallerListenerOptions,
 ): CallerListener => {
-  const { clock, log, plan, callerWire } = dependencies;
+  const { clock, log, plan, callerWire, drain } = dependencies;
   let openRequestCount = 0;
-  let drainingSinceMs: number | undefined;
   let hasReceivedRequest = false;
 
   /** Applies the idle timeout of the current plan; assigned once the server exists. */
@@ -65,7 +64,7 @@
       response.once('close', () => {
         openRequestCount -= 1;
       });
-      if (drainingSinceMs !== undefined) response.setHeader('connection', 'close');
+      if (drain.elapsedMs() !== undefined) response.setHeader('connection', 'close');
       if (acceptQueue.isLate(request.socket)) {
         const refusal = createShutdownRefusal();
         const callerRequest = callerWire.readRequest(request);
@@ -98,29 +97,25 @@
     server.keepAliveTimeout = idleTimeoutMs + keepAliveMarginMs;
   };
 
-  const drain = () => {
-    if (drainingSinceMs !== undefined) return;
-    drainingSinceMs = clock.monotonicMs();
+  const beginDrain = () => {
+    if (drain.elapsedMs() !== undefined) return;
+    drain.begin();
     log.info({ step: 'drain', openRequests: openRequestCount }, 'draining');
   };
 
   return {
-    drainingMs: () =>
-      drainingSinceMs === undefined ? undefined : clock.monotonicMs() - drainingSinceMs,
     hasReceivedRequests: () => hasReceivedRequest,
-    drain,
+    drain: beginDrain,
     component: {
       name: 'front',
       start: () => lifecycle.listen(server, options),
       stop: async () => {
-        drain();
-        const startedAtMs = clock.monotonicMs();
-        await delay(options.noticeMs);
-        const drainDeadlineMs = startedAtMs + options.noticeMs + options.drainTimeoutMs;
-        await acceptQueue.drain(options.drainTimeoutMs / 2);
+        beginDrain();
+        await delay(Math.max(0, options.noticeMs - (drain.elapsedMs() ?? 0)));
+        await acceptQueue.drain(Math.min(options.drainTimeoutMs / 2, drain.remainingMs()));
         server.close();
         let idleSinceMs = clock.monotonicMs();
-        while (clock.monotonicMs() < drainDeadlineMs) {
+        while (drain.remainingMs() > 0) {
           await lifecycle.pollConnections();
           server.closeIdleConnections();
           const nowMs = clock.monotonicMs();
@@ -129,6 +124,9 @@
           await delay(drainPollMs);
         }
         log.info({ step: 'drain', openRequests: openRequestCount }, 'drained');
+        drain.end();
+        const closeAtMs = clock.monotonicMs() + finalAnswerMs;
+        while (openRequestCount > 0 && clock.monotonicMs() < closeAtMs) await delay(drainPollMs);
         server.closeAllConnections();
       },
     },
--- /dev/null
+++ b/packages/relay/src/createDurationEstimates.ts
@@ -0,0 +1,38 @@
+/** Estimates how long requests take, by the name of their route. */
+export interface DurationEstimates {
+  readonly record: (routeName: string, durationMs: number) => void;
+  /** Returns the time in which nearly all requests of a route end; undefined until one has been answered. */
+  readonly upperMs: (routeName: string) => number | undefined;
+}
+
+interface Estimate {
+  readonly meanMs: number;
+  readonly deviationMs: number;
+}
+
+/** The weights and the margin of the estimate of round-trip times in TCP (RFC 6298). */
+const meanWeight = 1 / 8;
+const deviationWeight = 1 / 4;
+const deviations = 4;
+
+const update = ({ meanMs, deviationMs }: Estimate, durationMs: number): Estimate => ({
+  meanMs: meanMs + meanWeight * (durationMs - meanMs),
+  deviationMs: deviationMs + deviationWeight * (Math.abs(durationMs - meanMs) - deviationMs),
+});
+
+/** Creates estimates of no route. */
+export const createDurationEstimates = (): DurationEstimates => {
+  const estimates = new Map<string, Estimate>();
+
+  return {
+    record: (routeName, durationMs) => {
+      const known = estimates.get(routeName);
+      const first = { meanMs: durationMs, deviationMs: durationMs / 2 };
+      estimates.set(routeName, known === undefined ? first : update(known, durationMs));
+    },
+    upperMs: (routeName) => {
+      const known = estimates.get(routeName);
+      return known && known.meanMs + deviations * known.deviationMs;
+    },
+  };
+};
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -1,6 +1,6 @@
 import type * as clocks from '@comfreydrum/clock';
 import type * as fleet from '@comfreydrum/fleet';
-import type * as lifecycle from '@comfreydrum/lifecycle';
+import * as lifecycle from '@comfreydrum/lifecycle';
 import type * as objectStore from '@comfreydrum/object-store';
 import type * as peers from '@comfreydrum/peers';
 import type * as routing from '@comfreydrum/routing';
@@ -22,6 +22,7 @@
 import type { LimitExchange } from './limits/createLimitExchange';
 import { createDemandCounter } from './demand/createDemandCounter';
 import { createDemandExchange, type DemandExchange } from './demand/createDemandExchange';
+import { createDurationEstimates } from './createDurationEstimates';
 import { createRelayMetrics } from './createRelayMetrics';
 import type { LeavingExchange } from './signals/createLeavingExchange';
 import { createTargetSignals, type SignalOptions } from './signals/createTargetSignals';
@@ -188,6 +189,11 @@
     'Listed targets that are cold.',
     targetLimits.coldCount,
   );
+  const drain = lifecycle.createDrainPeriod({
+    nowMs: clock.monotonicMs,
+    noticeMs: options.noticeMs,
+    durationMs: options.noticeMs + options.drainTimeoutMs,
+  });
   /** Assigned once the listener exists. */
   let hasReceivedRequests = () => false;
   const targetSignals = createTargetSignals({
@@ -211,8 +217,6 @@
     }),
     signals: targetSignals,
   });
-  /** Assigned once the listener exists. */
-  let drainingMs = (): number | undefined => undefined;
   const targetReach = createTargetReach({
     ...options.reach,
     clock,
@@ -220,7 +224,7 @@
     random: options.random,
     failureDomain: options.failureDomain,
     callerAddress: `${options.host}:${options.port}`,
-    isDraining: () => drainingMs() !== undefined,
+    isDraining: () => drain.elapsedMs() !== undefined,
     services: () => [...(plan.current()?.services.values() ?? [])],
     candidatesOf: (service) => directory.allTargets(service, clock.monotonicMs()),
     probe: (candidate) =>
@@ -272,15 +276,15 @@
     targetReach,
     demandCounter,
     targetSignals,
-    drainingMs: () => drainingMs(),
+    drain,
+    durations: createDurationEstimates(),
   };
   const callerListener = createCallerListener(dependencies, options);
-  drainingMs = callerListener.drainingMs;
   hasReceivedRequests = callerListener.hasReceivedRequests;
   let lastReady: boolean | undefined;
 
   const evaluateReadiness = () => {
-    if (drainingMs() !== undefined) return { ready: false, reason: 'the daemon is draining' };
+    if (drain.elapsedMs() !== undefined) return { ready: false, reason: 'the daemon is draining' };
     if (plan.current() === undefined) return { ready: false, reason: 'no traffic plan is known' };
     if (!targets.isLoaded()) return { ready: false, reason: 'the targets are not known yet' };
     if (!evacuations.isKnown()) {
@@ -326,7 +330,9 @@
       },
       stop: async () => {
         clearInterval(reserveTimer);
-        dispatchQueues.drain(options.noticeMs + options.drainTimeoutMs * waitDrainFraction);
+        callerListener.drain();
+        const waitMs = options.noticeMs + options.drainTimeoutMs * waitDrainFraction;
+        dispatchQueues.drain(Math.max(0, waitMs - (drain.elapsedMs() ?? 0)));
         await callerListener.component.stop?.();
         await dispatchQueues.component.stop?.();
         await verdictStore.stop?.();
--- a/packages/relay/src/placing/waitForPlace.ts
+++ b/packages/relay/src/placing/waitForPlace.ts
@@ -30,6 +30,7 @@
     forecast,
     isWithdrawn: () =>
       context.callerDisconnected.aborted ||
+      context.mustEnd.aborted ||
       !context.isStillAuthorized() ||
       isQuarantined() ||
       // Another daemon serves the request, since this one reaches no target any more.
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -1,4 +1,5 @@
 import type * as routing from '@comfreydrum/routing';
+import { canEndBeforeStop } from '../canEndBeforeStop';
 import { hasFreeSlot, type Candidate } from '../chooseTarget';
 import type { QuarantineSubject } from '../crashes/createCrashMonitor';
 import type { RelayDependencies } from '../RelayDependencies';
@@ -20,6 +21,7 @@
   | {
       readonly reason:
         | RetryDenial
+        | 'shutting-down'
         | 'unauthorized'
         | 'not-repeatable'
         | 'too-many-runs'
@@ -135,9 +137,19 @@
     return isReachLost ? (await targetReach.findHelpers(service)).filter(isUntried) : [];
   };
 
+  /** Whether this daemon stops, and the request has to end or had better not start. */
+  const hasToStop = (nowMs: number): boolean => {
+    if (context.mustEnd.aborted) return true;
+    if (startedRunCount > 0) return false;
+    const { arrivedAtMs } = context;
+    const timeLimitMs = deadlineAtMs - nowMs;
+    return !canEndBeforeStop(dependencies, { route, arrivedAtMs, timeLimitMs });
+  };
+
   /** Returns why the request may not be sent at all now. */
   const findDenial = (nowMs: number, isRetry: boolean): RunDenial | undefined => {
     const retryDenial = isRetry ? findRetryDenial() : undefined;
+    if (hasToStop(nowMs)) return { reason: 'shutting-down' };
     if (!context.isStillAuthorized()) return { reason: 'unauthorized' };
     const status = dependencies.crashMonitor.check(context.fingerprint, context.sharedPartIds);
     if (status.kind === 'quarantined') return { ...status, reason: 'quarantined' };
--- a/packages/relay/src/runs/selectTarget.ts
+++ b/packages/relay/src/runs/selectTarget.ts
@@ -134,7 +134,7 @@
     return deny({ reason: 'target-limits', retryAfterMs: permit.retryAfterMs });
   }
   const grantedAtMs = clock.monotonicMs();
-  const signal = context.callerDisconnected;
+  const signal = AbortSignal.any([context.callerDisconnected, context.mustEnd]);
   if (permit.waitMs > 0) await delay(permit.waitMs, undefined, { signal }).catch(() => {});
   const lateMs = clock.monotonicMs() - grantedAtMs - permit.waitMs;
   if (lateMs > permitValidityMs) return selectTarget(dependencies, context, options);
--- a/packages/relay/src/sendToTarget.ts
+++ b/packages/relay/src/sendToTarget.ts
@@ -31,8 +31,11 @@
 /** Why a request is held back just before it is sent. */
 type SendHold = Hold | 'evacuated';
 
-/** The request was held back because of what its target or the operator had said, or the target asked to wait. */
-export type SendExcuse = 'held-back' | 'pause';
+/**
+ * The request was held back because of what its target or the operator had said, the target asked to wait, or this daemon
+ * has to stop.
+ */
+export type SendExcuse = 'held-back' | 'pause' | 'stop';
 
 /** The options of one attempt to send a request. */
 export interface SendOptions {
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -12,6 +12,7 @@
   createPauseRefusal,
   createEvacuationRefusal,
   createQuarantineRefusal,
+  createStopRefusal,
 } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
@@ -107,7 +108,11 @@
       const refusal = createEvacuationRefusal(service.name, dependencies.evacuations);
       return { kind: 'refused', refusal };
     }
-    if (failedAnswer === undefined) return { kind: 'refused', refusal: createRefusal(denial) };
+    if (failedAnswer === undefined) {
+      const refusal =
+        denial.reason === 'shutting-down' ? createStopRefusal(failedCount) : createRefusal(denial);
+      return { kind: 'refused', refusal };
+    }
     writeAnswer(context, failedAnswer);
     return { kind: 'answered', statusCode: failedAnswer.statusCode };
   };
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -38,6 +38,7 @@
   request: CallerRequest,
   message: http.IncomingMessage,
   response: http.ServerResponse,
+  mustEnd: AbortSignal,
 ): Promise<FingerprintedResult> => {
   const arrivedAtMs = dependencies.clock.monotonicMs();
   const callerDisconnected = watchCaller(message, response);
@@ -71,6 +72,7 @@
     arrivedAtMs,
     deadlineAtMs: arrivedAtMs + timeLimitMs,
     callerDisconnected,
+    mustEnd,
     isStillAuthorized: createKeyCheck(dependencies, request, customerName !== undefined),
   };
   dependencies.metrics.requests.add({ route: route.name });
@@ -87,7 +89,9 @@
   const outcome = result.kind === 'refused' ? result.refusal.cause : result.kind;
   dependencies.metrics.outcomes.add({ route: route.name, outcome });
   if (result.kind === 'answered') {
-    dependencies.metrics.responseMs.record(dependencies.clock.monotonicMs() - arrivedAtMs);
+    const tookMs = dependencies.clock.monotonicMs() - arrivedAtMs;
+    dependencies.metrics.responseMs.record(tookMs);
+    dependencies.durations.record(route.name, tookMs);
   }
   return { ...result, fingerprint };
 };
@@ -120,9 +124,10 @@
   const arrivedAtMs = clock.monotonicMs();
   const request = callerWire.readRequest(message);
   const listAgeMs = dependencies.directory.ageMs();
+  const { signal: mustEnd, release } = dependencies.drain.watchEnd();
   let result: FingerprintedResult;
   try {
-    result = await serve(dependencies, request, message, response);
+    result = await serve(dependencies, request, message, response, mustEnd);
   } catch (cause) {
     log.error(
       { requestId: request.requestId, step: 'serve', cause: errors.describeCause(cause) },
@@ -130,6 +135,8 @@
     );
     const text = 'the daemon failed while it served the request';
     result = refused({ cause: 'internal', statusCode: 502, ran: 'unknown', message: text });
+  } finally {
+    release();
   }
   const isCutOff = result.kind === 'refused' && response.headersSent;
   if (result.kind === 'refused') {
@@ -140,7 +147,7 @@
   const sharedPartIds = sharedPartIdsOf(request).slice(0, maxLoggedParts);
   const placement = dependencies.placing.recordOf(request);
   const waitedMs = dependencies.dispatchQueues.waitedMsOf(request);
-  const drainingMs = dependencies.drainingMs();
+  const drainingMs = dependencies.drain.elapsedMs();
   log.info(
     {
       requestId: request.requestId,
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -13,6 +13,7 @@
   createPauseRefusal,
   createEvacuationRefusal,
   createQuarantineRefusal,
+  createStopRefusal,
   type Refusal,
 } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
@@ -103,6 +104,9 @@
 
   const refuse = (denial: RunDenial): ServeResult => {
     const failedCount = allowance.failedRunCount();
+    if (denial.reason === 'shutting-down') {
+      return { kind: 'refused', refusal: createStopRefusal(failedCount) };
+    }
     if (denial.reason === 'unauthorized') return refuseUnverifiedKey(failedCount);
     if (denial.reason === 'quarantined') {
       const refusal = createQuarantineRefusal(failedCount, denial);
