--- a/packages/target-client/src/brokenAnswers.test.ts
+++ b/packages/target-client/src/brokenAnswers.test.ts
@@ -60,4 +60,20 @@
   }
 });
 
+const informational = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
+
+test('a head that breaks off anywhere is no response', async () => {
+  const heads = [closeDelimited, chunked, withLength].map((text) => text.split('\r\n\r\n')[0]!);
+  for (const head of heads) {
+    const results = await Promise.all(
+      Array.from(`${head}\r\n\r`, (_, length) => head.slice(0, length)).flatMap((part) =>
+        [finish, reset].flatMap((end) =>
+          ['', informational].map((before) => requestFrom(`${before}${part}`, end)),
+        ),
+      ),
+    );
+    assert.equal([...new Set(results)], ['failed: unknown']);
+  }
+});
+
 test.run();
