Gateway: no request is passed on late in a planned stop that may end after it

What callers would see: a request on a connection that was opened before the stop and not used is passed on and cut without an answer at the end of the time to drain, as in the relay. Same cause: nothing asked whether a request can end in what is left. With the notice over, a request whose route's deadline is later than the end of the stop gets 503, not run. Idle connections are closed for as long as the gateway drains, not once.

Failed before: createGateway, passes no request on that may not end before it stops (the request was passed on). What started before the end of the notice and has a deadline later than the time to drain is still cut at its end.

--- a/packages/gateway/src/GatewayParts.ts
+++ b/packages/gateway/src/GatewayParts.ts
@@ -1,3 +1,4 @@
+import type * as lifecycle from '@comfreydrum/lifecycle';
 import type * as routing from '@comfreydrum/routing';
 import type * as targetClient from '@comfreydrum/target-client';
 import type { CrashGuard } from './createCrashGuard';
@@ -20,4 +21,6 @@
   readonly customers: CustomerLimits;
   readonly retryBudgets: RetryBudgets;
   readonly lookups: routing.LookupCache<ServiceResponse>;
+  /** The planned stop of the daemon. */
+  readonly stopPeriod: lifecycle.DrainPeriod;
 }
--- a/packages/gateway/src/createGateway.test.ts
+++ b/packages/gateway/src/createGateway.test.ts
@@ -1,5 +1,7 @@
+import { once } from 'node:events';
 import type * as http from 'node:http';
 import * as net from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
@@ -233,6 +235,35 @@
   });
 });
 
+test('passes no request on that may not end before it stops, on a connection that was opened before', async () => {
+  let arrivedCount = 0;
+  const target: http.RequestListener = () => {
+    arrivedCount += 1;
+  };
+  await withGateway({ target, drainTimeoutMs: 1_000 }, async (gateway) => {
+    const { hostname, port } = new URL(gateway.url);
+    const socket = net.connect(Number(port), hostname);
+    await once(socket, 'connect');
+    const running = send(gateway.url, chatPath, chat).catch(() => undefined);
+    await testing.waitUntil(() => arrivedCount > 0, 1_000, 'the first request at the target');
+    const stopped = gateway.stop();
+    await delay(300);
+    const body = JSON.stringify(chat);
+    socket.write(
+      `POST ${chatPath} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${testTokens.court}\r\n` +
+        `content-length: ${body.length}\r\n\r\n${body}`,
+    );
+    const [chunk] = (await Promise.race([once(socket, 'data'), once(socket, 'close')])) as [
+      unknown,
+    ];
+    assert.match(String(chunk), 'HTTP/1.1 503');
+    assert.match(String(chunk), '"code":"shutting_down"');
+    assert.is(arrivedCount, 1);
+    await stopped;
+    await running;
+  });
+});
+
 test('completes open streams before it stops', async () => {
   let finish = () => {};
   const target: http.RequestListener = (request, response) => {
--- a/packages/gateway/src/createGateway.ts
+++ b/packages/gateway/src/createGateway.ts
@@ -53,6 +53,11 @@
     random: routing.createRandom(dependencies.randomSeed),
     daemonCount: () => dependencies.link.liveIds().length,
   });
+  const stopPeriod = lifecycle.createDrainPeriod({
+    nowMs: clock.monotonicMs,
+    noticeMs: dependencies.noticeMs,
+    durationMs: dependencies.noticeMs + dependencies.drainTimeoutMs,
+  });
   const parts: GatewayParts = {
     dependencies,
     targets,
@@ -63,6 +68,7 @@
     customers,
     retryBudgets: createRetryBudgets(),
     lookups: routing.createLookupCache(),
+    stopPeriod,
   };
   let openRequests = 0;
   let isDraining = false;
@@ -129,13 +135,16 @@
 
   const stop = async () => {
     isDraining = true;
+    stopPeriod.begin();
     timeline.record('drain started', { text: `${openRequests} requests open` });
     await delay(dependencies.noticeMs);
     await acceptQueue.drain(dependencies.drainTimeoutMs / 2);
     server.close();
     server.closeIdleConnections();
-    const drainDeadlineMs = clock.monotonicMs() + dependencies.drainTimeoutMs;
-    while (openRequests > 0 && clock.monotonicMs() < drainDeadlineMs) await delay(drainPollMs);
+    while (openRequests > 0 && stopPeriod.remainingMs() > 0) {
+      await delay(drainPollMs);
+      server.closeIdleConnections();
+    }
     timeline.record('drain ended', { text: `${openRequests} requests open` });
     server.closeAllConnections();
     unsubscribeBroken();
--- a/packages/gateway/src/serveCaller.ts
+++ b/packages/gateway/src/serveCaller.ts
@@ -27,6 +27,17 @@
     message: `no route serves ${method} ${path}`,
   });
 
+const shutdownRetryAfterMs = 50;
+
+/** Refuses a request that came after the notice period of a planned stop and may end after it. */
+const shuttingDown = createRefusal({
+  step: 'drain',
+  statusCode: 503,
+  code: 'shutting_down',
+  message: 'the daemon is shutting down',
+  retryAfterMs: shutdownRetryAfterMs,
+});
+
 const internalError = (cause: unknown): Refusal =>
   createRefusal({
     step: 'serve',
@@ -55,6 +66,10 @@
   const [path = '/'] = (request.url ?? '/').split('?', 1);
   const route = findRoute(caller.team, method, path);
   if (route === undefined) return routeNotFound(method, path);
+  const { stopPeriod } = parts;
+  if (stopPeriod.wasNoticeOver(startedAtMs) && route.deadlineMs > stopPeriod.remainingMs()) {
+    return shuttingDown;
+  }
   parts.metrics.requests.add({ route: route.name });
 
   const gone = new AbortController();
--- a/packages/gateway/src/testing/createTestGateway.ts
+++ b/packages/gateway/src/testing/createTestGateway.ts
@@ -89,6 +89,7 @@
   readonly serviceTargetCount?: number;
   readonly link?: FleetLink;
   readonly retryBudgetFraction?: number;
+  readonly drainTimeoutMs?: number;
 }
 
 /** A listening gateway whose targets the test implements. */
@@ -187,7 +188,7 @@
       bodyTimeoutMs: 300,
     },
     noticeMs: 0,
-    drainTimeoutMs: 5_000,
+    drainTimeoutMs: options.drainTimeoutMs ?? 5_000,
     clock: systemClock,
     log: telemetry.createLog({ level: 'silent', instanceId: 'entry-1' }),
     metrics: telemetry.createMetrics(),
