--- a/packages/relay/src/createDurationEstimates.ts
+++ b/packages/relay/src/createDurationEstimates.ts
@@ -14,6 +14,8 @@
 const meanWeight = 1 / 8;
 const deviationWeight = 1 / 4;
 const deviations = 4;
+/** Routes come and go with the plans; those without requests for longest are forgotten. */
+const maxRoutes = 4_096;
 
 const update = ({ meanMs, deviationMs }: Estimate, durationMs: number): Estimate => ({
   meanMs: meanMs + meanWeight * (durationMs - meanMs),
@@ -28,7 +30,9 @@
     record: (routeName, durationMs) => {
       const known = estimates.get(routeName);
       const first = { meanMs: durationMs, deviationMs: durationMs / 2 };
+      estimates.delete(routeName);
       estimates.set(routeName, known === undefined ? first : update(known, durationMs));
+      if (estimates.size > maxRoutes) estimates.delete(estimates.keys().next().value!);
     },
     upperMs: (routeName) => {
       const known = estimates.get(routeName);
