Admission: a body is refused for good only by the limit of the plan in force

A 413 was answered by the limit of the plan at hand. It now needs a plan that is proved to be in force as 401 and 404 do; without one, or if the newer plan allows larger bodies, the request gets 503, not run, and may come again.

Failed before: refuseLargeBody, may come again while the plan is too old for a denial (413 by a plan 3,000 ms old, 1,900 allowed).

--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -62,6 +62,14 @@
   message,
 });
 
+const stalePlanRetryAfterMs = 700;
+
+/** Creates the refusal of a request that needs a plan which was lately proved to be in force. */
+export const createStalePlanRefusal = (planAgeMs: number): Refusal => {
+  const message = `the traffic plan was last proved in force ${Math.round(planAgeMs)} ms ago`;
+  return createNotRunRefusal('plan-out-of-date', message, stalePlanRetryAfterMs);
+};
+
 /** The other daemons take callers of one that is shutting down at once. */
 const shutdownRetryAfterMs = 50;
 
--- a/packages/relay/src/admitRequest.ts
+++ b/packages/relay/src/admitRequest.ts
@@ -1,6 +1,6 @@
 import type * as fleet from '@comfreydrum/fleet';
 import type { CallerRequest } from './CallerRequest';
-import { createNotRunRefusal, type Refusal } from './Refusal';
+import { createNotRunRefusal, createStalePlanRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import { resolveAccess, type Access } from './resolveAccess';
 
@@ -15,7 +15,6 @@
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
 const noPlanRetryAfterMs = 500;
-const stalePlanRetryAfterMs = 700;
 
 const denialStatuses = { 'no-route': 404, 'unknown-key': 401 } as const;
 
@@ -50,23 +49,18 @@
     return access.customer === undefined ? Infinity : keyValidityMs;
   };
 
-  const refuseStalePlan = () => {
-    const message = `the traffic plan was last proved in force ${Math.round(tracker.ageMs())} ms ago`;
-    return refuse(createNotRunRefusal('plan-out-of-date', message, stalePlanRetryAfterMs));
-  };
-
   let plan = known;
   const { planRevision = plan.revision } = request.handover ?? {};
   if (planRevision > plan.revision) {
     tracker.announce(planRevision);
     const confirmed = await tracker.confirmPlan(denialValidityMs);
-    if (confirmed === undefined) return refuseStalePlan();
+    if (confirmed === undefined) return refuse(createStalePlanRefusal(tracker.ageMs()));
     plan = confirmed;
   }
   let access = resolveAccess(plan, request);
   while (access.kind === 'denied' || tracker.ageMs() > maxAgeMsFor(access)) {
     const confirmed = await tracker.confirmPlan(maxAgeMsFor(access));
-    if (confirmed === undefined) return refuseStalePlan();
+    if (confirmed === undefined) return refuse(createStalePlanRefusal(tracker.ageMs()));
     const wasDenied = access.kind === 'denied';
     plan = confirmed;
     access = resolveAccess(plan, request);
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -6,6 +6,7 @@
 import { chooseService } from './chooseService';
 import { fingerprintRequest } from './crashes/fingerprintRequest';
 import { readBody } from './readBody';
+import { refuseLargeBody } from './refuseLargeBody';
 import { createNotRunRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
@@ -47,6 +48,9 @@
   const { plan, route, customer } = admission;
   const customerName = customer?.name;
   const body = await readBody(message, plan.limits);
+  if (body.kind === 'refused' && body.refusal.cause === 'body-too-large') {
+    return refused(await refuseLargeBody(dependencies, plan, body.refusal));
+  }
   if (body.kind !== 'body') return body;
   await lifecycle.pollConnections();
   if (callerDisconnected.aborted) return { kind: 'caller-gone' };
