Gateway: no token and no route is denied by a configuration that is not proved in force

Such a denial is now a 503, not run, with a Retry-After, while the daemon is not ready for that reason. Known tokens and routes are served as before.

Failed before: createGateway, denies no token and no route by a configuration that is not proved in force (401).

--- a/packages/gateway/src/createGateway.test.ts
+++ b/packages/gateway/src/createGateway.test.ts
@@ -225,6 +225,21 @@
   });
 });
 
+test('denies no token and no route by a configuration that is not proved in force', async () => {
+  const reason = 'the configuration is not proved fresh';
+  const readiness = () => ({ ready: false, reason });
+  await withGateway({ target: answerOk, readiness }, async ({ url }) => {
+    const unknownToken = await send(url, chatPath, chat, { authorization: 'Bearer new-token' });
+    const unknownRoute = await send(url, '/new-route', chat);
+    [unknownToken, unknownRoute].forEach(({ status, headers, text }) => {
+      assert.is(status, 503);
+      assert.is(errorOf(text).code, 'configuration_unproved');
+      assert.is(headers.get('x-comfreydrum-ran'), 'not-run');
+      assert.ok(Number(headers.get('retry-after')) > 0);
+    });
+  });
+});
+
 test('fails readiness while it drains', async () => {
   await withGateway({ target: answerOk }, async (gateway) => {
     const statusOf = async () => (await fetch(`${gateway.url}/readyz`)).status;
--- a/packages/gateway/src/serveCaller.ts
+++ b/packages/gateway/src/serveCaller.ts
@@ -27,6 +27,21 @@
     message: `no route serves ${method} ${path}`,
   });
 
+const unprovedRetryAfterMs = 1_000;
+
+/** Returns a denial, which is final for the caller, or lets it come again while the configuration may be out of date. */
+const deny = ({ dependencies }: GatewayParts, denial: Refusal): Refusal => {
+  const { ready, reason } = dependencies.readiness();
+  if (ready) return denial;
+  return createRefusal({
+    step: denial.step,
+    statusCode: 503,
+    code: 'configuration_unproved',
+    message: `${denial.message}, but ${reason}`,
+    retryAfterMs: unprovedRetryAfterMs,
+  });
+};
+
 const shutdownRetryAfterMs = 50;
 
 /** Refuses a request that came after the notice period of a planned stop and may end after it. */
@@ -61,11 +76,11 @@
   const { clock, limits } = parts.dependencies;
   const startedAtMs = clock.monotonicMs();
   const caller = callers.find(request.headers.authorization);
-  if (caller === undefined) return unauthorized;
+  if (caller === undefined) return deny(parts, unauthorized);
   const method = request.method ?? 'GET';
   const [path = '/'] = (request.url ?? '/').split('?', 1);
   const route = findRoute(caller.team, method, path);
-  if (route === undefined) return routeNotFound(method, path);
+  if (route === undefined) return deny(parts, routeNotFound(method, path));
   const { stopPeriod } = parts;
   if (stopPeriod.wasNoticeOver(startedAtMs) && route.deadlineMs > stopPeriod.remainingMs()) {
     return shuttingDown;
--- a/packages/gateway/src/testing/createTestGateway.ts
+++ b/packages/gateway/src/testing/createTestGateway.ts
@@ -90,6 +90,7 @@
   readonly link?: FleetLink;
   readonly retryBudgetFraction?: number;
   readonly drainTimeoutMs?: number;
+  readonly readiness?: Gateway['readiness'];
 }
 
 /** A listening gateway whose targets the test implements. */
@@ -222,7 +223,7 @@
     },
     hasher: await routing.createPrefixHasher(),
     randomSeed: 1,
-    readiness: () => ({ ready: true, reason: 'ready' }),
+    readiness: options.readiness ?? (() => ({ ready: true, reason: 'ready' })),
   });
   await gateway.component.start?.();
 
