--- a/review/harness/fleet.mjs
+++ b/review/harness/fleet.mjs
@@ -18,7 +18,10 @@
     setTimeout(done, ms);
   });
 
-export const hostAt = (last) => `127.0.0.${last}`;
+/** The third byte of the loopback addresses; runs with different ones don't take each other's ports. */
+const subnet = process.env.SUBNET ?? '0';
+
+export const hostAt = (last) => `127.0.${subnet}.${last}`;
 
 const freePort = async (host) => {
   const server = net.createServer();
