--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -15,11 +15,11 @@
 const record = fleet.createRecorder(folder);
 const { sleep, hostAt, bounds } = fleet;
 const daemonCount = 2;
-const deskPerSecond = 200;
+const deskPerSecond = 111;
 const workMs = 86;
 const warmUpMs = 10_000;
 /** How often the open channels to the store go silent. */
-const silenceCount = 5;
+const silenceCount = 12;
 const minSilencePauseMs = 4_000;
 const maxSilencePauseMs = 6_000;
 /** From the last silence until the worker drains. */
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -15,7 +15,7 @@
 const record = fleet.createRecorder(folder);
 const { sleep, hostAt, bounds } = fleet;
 const daemonCount = 2;
-const deskPerSecond = 280;
+const deskPerSecond = 111;
 const workMs = 86;
 const warmUpMs = 6_000;
 /** How often the open channels to the store go silent, each time followed by a change of the manifest. */
