Store client: the time-out of a watch survives a garbage collection

Cause: the signal of a call was AbortSignal.any of a stop signal and AbortSignal.timeout. Node 20 holds the sources of such a signal weakly; nothing else refers to the time-out, so a collection during the wait removes it and the watch never ends.

Evidence: the holder's log has no line of the list or the plan after one of the silences, though more follow.

Change: createDeadline (packages/clock) holds its timer and its listeners on the source signals until it is released. Why it works: the timer list of Node refers to the timer, and that to the controller.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -75,6 +75,7 @@
   client: container.resolve(relayTokens.store),
   clock: container.resolve(relayTokens.clock),
   log: container.resolve(relayTokens.log),
+  metrics: container.resolve(relayTokens.metrics),
   random: Math.random,
 });
 
@@ -170,7 +171,6 @@
   const targets = () => [...container.resolve(relayTokens.targets).all().values()];
   return fleet.createEvacuationTracker({
     ...resolveSharedDependencies(container),
-    metrics: container.resolve(relayTokens.metrics),
     source: container.resolve(relayTokens.platform).evacuationSource,
     evacuationMs: failureDomains.evacuationMs,
     isHolder,
@@ -273,7 +273,6 @@
   register(relayTokens.plan, (resolver) =>
     fleet.createPlanTracker({
       ...resolveSharedDependencies(resolver),
-      metrics: resolver.resolve(relayTokens.metrics),
       inForceMs: daemonSettings.plan.inForceMs,
       isHolder,
       mayFollow: isStartWaitOver,
--- a/packages/fleet/src/createTargetList.test.ts
+++ b/packages/fleet/src/createTargetList.test.ts
@@ -35,6 +35,7 @@
     client,
     clock,
     log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
+    metrics: telemetry.createMetrics(),
     source: { kind: 'targets', decode },
     random: () => 0,
     minIntervalMs: () => 0,
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -63,6 +63,7 @@
   readonly client: objectStore.PlatformClient;
   readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
+  readonly metrics: telemetry.Metrics;
   readonly source: TargetSource;
   readonly random: () => number;
   /** Minimum time between two calls to the store; evaluated before each call. */
@@ -253,6 +254,12 @@
     },
   });
 
+  options.metrics.gauge(
+    'comfreydrum_target_list_age_ms',
+    'For how long the list of targets may be out of date.',
+    ageMs,
+  );
+
   return {
     all: () => targets,
     groups: () => {
--- a/packages/gateway/src/createCacheEventPoller.test.ts
+++ b/packages/gateway/src/createCacheEventPoller.test.ts
@@ -140,4 +140,20 @@
   await engine.stop();
 });
 
+// Guards against polling that stops for good, as a collection removed the time-out of a poll.
+test('ends the poll of a silent target at its time-out although garbage is collected before', async () => {
+  const leaveUnanswered: http.RequestListener = () => {};
+  await withServer(leaveUnanswered, async (url) => {
+    const { poller, router, targets } = createTestPoller([candidateAt(url)]);
+    router.onDispatch(candidateAt(url), requestOf('1', []), 0);
+    let isEnded = false;
+    void poller.poll().then(() => {
+      isEnded = true;
+    });
+    await testing.collectGarbage();
+    await testing.waitUntil(() => isEnded, 2_000, 'the poll to end');
+    await targets.close();
+  });
+});
+
 test.run();
--- a/packages/gateway/src/createCacheEventPoller.ts
+++ b/packages/gateway/src/createCacheEventPoller.ts
@@ -1,4 +1,4 @@
-import type * as clock from '@comfreydrum/clock';
+import * as clocks from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import type * as routing from '@comfreydrum/routing';
 import type * as telemetry from '@comfreydrum/telemetry';
@@ -21,7 +21,7 @@
 
 /** Options of a cache event poller. */
 export interface CacheEventPollerOptions {
-  readonly clock: clock.Clock;
+  readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
   readonly targets: targetClient.TargetClient;
   readonly random: routing.Random;
@@ -104,15 +104,20 @@
   };
 
   const fetchEvents = async (url: string, since: number) => {
-    const sent = await targets.send({
-      url,
-      path: `/cache-events?since=${since}&limit=${maxEvents}`,
-      method: 'GET',
-      headers: {},
-      body: null,
-      signal: AbortSignal.any([stopped.signal, AbortSignal.timeout(timeoutMs)]),
-    });
-    return sent.ok ? readCacheEvents(sent.value, url, maxResponseBytes) : sent;
+    const deadline = clocks.createDeadline(timeoutMs, [stopped.signal]);
+    try {
+      const sent = await targets.send({
+        url,
+        path: `/cache-events?since=${since}&limit=${maxEvents}`,
+        method: 'GET',
+        headers: {},
+        body: null,
+        signal: deadline.signal,
+      });
+      return sent.ok ? await readCacheEvents(sent.value, url, maxResponseBytes) : sent;
+    } finally {
+      deadline.release();
+    }
   };
 
   const poll = async () => {
--- a/packages/gateway/src/serveIdempotent.ts
+++ b/packages/gateway/src/serveIdempotent.ts
@@ -3,7 +3,7 @@
 import { acquireTarget } from './acquireTarget';
 import { tryConsumeRetry } from './tryConsumeRetry';
 import { createSlotRequest } from './createSlotRequest';
-import { deadlineSignal } from './deadlineSignal';
+import { createRequestDeadline } from './createRequestDeadline';
 import type { GatewayParts } from './GatewayParts';
 import { createRefusal, type ExecutionStatus, type Refusal } from './Refusal';
 import type { RequestContext } from './RequestContext';
@@ -17,18 +17,14 @@
 const maxAttempts = 3;
 const retriedStatuses = new Set([502, 503, 504]);
 
-/** Sends an idempotent request to a target and retries it on another when the target fails. */
-export const serveIdempotent = async (
+const runUntil = async (
+  signal: AbortSignal,
   parts: GatewayParts,
   context: RequestContext,
   route: configuration.ServiceRoute,
   pool: SlotPool,
 ): Promise<errors.Result<ServiceResponse, Refusal>> => {
   const triedIds = new Set<string>();
-  const signal = AbortSignal.any([
-    context.callerDisconnected,
-    deadlineSignal(context, parts.dependencies.clock),
-  ]);
   const fingerprint = fingerprintServiceRequest(parts, context);
   let ran: ExecutionStatus = 'not-run';
   let reason = '';
@@ -61,3 +57,19 @@
     }),
   );
 };
+
+/** Sends an idempotent request to a target and retries it on another when the target fails. */
+export const serveIdempotent = async (
+  parts: GatewayParts,
+  context: RequestContext,
+  route: configuration.ServiceRoute,
+  pool: SlotPool,
+): Promise<errors.Result<ServiceResponse, Refusal>> => {
+  const { callerDisconnected } = context;
+  const deadline = createRequestDeadline(context, parts.dependencies.clock, [callerDisconnected]);
+  try {
+    return await runUntil(deadline.signal, parts, context, route, pool);
+  } finally {
+    deadline.release();
+  }
+};
--- a/packages/gateway/src/serveNonIdempotent.ts
+++ b/packages/gateway/src/serveNonIdempotent.ts
@@ -5,7 +5,7 @@
 import { acquireTarget } from './acquireTarget';
 import { respondFromLedger } from './respondFromLedger';
 import { createSlotRequest } from './createSlotRequest';
-import { deadlineSignal } from './deadlineSignal';
+import { createRequestDeadline } from './createRequestDeadline';
 import type { GatewayParts } from './GatewayParts';
 import { createRefusal, type Refusal } from './Refusal';
 import type { RequestContext } from './RequestContext';
@@ -83,12 +83,12 @@
     finish({ kind: 'not-run' });
     return refuseFailedRun('not-run', 'the request was given up before it was sent');
   }
-  const signal = deadlineSignal(context, dependencies.clock);
+  const deadline = createRequestDeadline(context, dependencies.clock);
   const result = await runOnService(parts, context, {
     ...run,
-    signal,
+    signal: deadline.signal,
     mayWrite: grant.tryDispatch,
-  });
+  }).finally(deadline.release);
   if (result.ok) {
     finish(toRunOutcome(result.value, idempotency.keptAnswerBytes));
     return result;
--- a/packages/object-store/src/createHttpPlatformClient.ts
+++ b/packages/object-store/src/createHttpPlatformClient.ts
@@ -1,3 +1,4 @@
+import * as clocks from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import * as undici from 'undici';
 import * as zod from 'zod';
@@ -64,12 +65,12 @@
   ): Promise<errors.Result<Value, PlatformFailure>> => {
     const fail = (kind: PlatformFailure['kind'], message: string) =>
       errors.err<PlatformFailure>({ kind, step, peer: `${options.url}${path}`, message });
-    const timeout = AbortSignal.timeout(timeoutMs);
+    const deadline = clocks.createDeadline(timeoutMs, signal ? [signal] : []);
     try {
       const response = await undici.request(`${options.url}${path}`, {
         method,
         dispatcher: agent,
-        signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+        signal: deadline.signal,
         headers: body === undefined ? headers : { 'content-type': 'application/json', ...headers },
         body: body === undefined ? null : JSON.stringify(body),
       });
@@ -84,6 +85,8 @@
     } catch (cause) {
       const kind = method === 'GET' || errors.wasNeverSent(cause) ? 'unreachable' : 'ambiguous';
       return fail(kind, `${step} failed: ${errors.describeCause(cause)}`);
+    } finally {
+      deadline.release();
     }
   };
 
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,4 +1,5 @@
 export { waitUntil } from './waitUntil';
+export { collectGarbage } from './collectGarbage';
 export { createRandom, type Random } from './createRandom';
 export type { Standin, StandinAddress } from './http/createHttpStandin';
 export {
