Relay: requests that a target leaves unanswered end at their time limit

Evidence: timeLimits leaves a filing and a lookup unanswered, with optimized code, while garbage is collected: no answer before, in 3 of 3 runs; 504 now. Streams held their time-out themselves.

Change: exchanges, streams and the wait for a permit use createDeadline. A linter rule refuses AbortSignal.any, so that no such time-out comes back.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,16 @@
       'import-x/prefer-default-export': 'off',
       'import-x/no-useless-path-segments': ['error', { noUselessIndex: false }],
       'import-x/no-cycle': ['error', { maxDepth: 3 }],
-      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-restricted-syntax': [
+        'error',
+        'ForInStatement',
+        'LabeledStatement',
+        'WithStatement',
+        {
+          selector: "MemberExpression[object.name='AbortSignal'][property.name='any']",
+          message: 'AbortSignal.any loses time-outs in a garbage collection; use createDeadline.',
+        },
+      ],
       // Loops await each step in turn to keep the steps in order.
       'no-await-in-loop': 'off',
       'no-continue': 'off',
--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -1,3 +1,4 @@
+import * as clocks from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import * as targetClient from '@comfreydrum/target-client';
 import { forwardedHeadersOf } from './forwardedHeadersOf';
@@ -46,9 +47,13 @@
 ): Promise<ExchangeResult> => {
   const { targetTracker, clock } = dependencies;
   const sentAtMs = clock.monotonicMs();
-  const deadline = AbortSignal.timeout(Math.max(1, Math.ceil(context.deadlineAtMs - sentAtMs)));
   const { callerDisconnected, mustEnd } = context;
-  const signal = AbortSignal.any([deadline, stopSignal, callerDisconnected, mustEnd]);
+  const deadline = clocks.createDeadline(Math.ceil(context.deadlineAtMs - sentAtMs), [
+    stopSignal,
+    callerDisconnected,
+    mustEnd,
+  ]);
+  const { signal } = deadline;
   const isUnwanted = () => stopSignal.aborted || callerDisconnected.aborted || mustEnd.aborted;
   targetTracker.onSend(candidate.key, sentAtMs);
   try {
@@ -90,6 +95,7 @@
       },
     };
   } finally {
+    deadline.release();
     targetTracker.onEnd(candidate.key);
   }
 };
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -1,3 +1,4 @@
+import * as clocks from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import { forwardedHeadersOf } from './forwardedHeadersOf';
 import type { Candidate } from './chooseTarget';
@@ -232,13 +233,13 @@
 ): Promise<StreamResult> => {
   const { targetTracker, clock } = dependencies;
   const { candidate, progress, control } = attempt;
-  const deadline = new AbortController();
   const { callerDisconnected, mustEnd } = context;
-  const signal = AbortSignal.any([deadline.signal, control.signal, callerDisconnected, mustEnd]);
-  const deadlineTimer = setTimeout(
-    () => deadline.abort(new Error('the time limit of the request passed')),
-    Math.max(0, context.deadlineAtMs - clock.monotonicMs()),
-  );
+  const deadline = clocks.createDeadline(context.deadlineAtMs - clock.monotonicMs(), [
+    control.signal,
+    callerDisconnected,
+    mustEnd,
+  ]);
+  const { signal } = deadline;
   const stopWatching = watchForStall(dependencies, context, attempt, signal);
   const sentAtMs = clock.monotonicMs();
   targetTracker.onSend(candidate.key, sentAtMs);
@@ -250,8 +251,7 @@
     const excuse = mustEnd.aborted ? 'stop' : failure.excuse;
     if (!isUnwanted && excuse === undefined)
       targetTracker.onFailure(candidate.key, clock.monotonicMs());
-    const reason: unknown = deadline.signal.reason;
-    const message = reason instanceof Error ? reason.message : failure.message;
+    const message = deadline.hasPassed() ? 'the time limit of the request passed' : failure.message;
     return { kind: 'failed', failure: { ...failure, message, excuse } };
   };
 
@@ -299,7 +299,7 @@
       isCloseDelimited: isCloseDelimited(answer, context.request.method),
     };
   } finally {
-    clearTimeout(deadlineTimer);
+    deadline.release();
     stopWatching();
     targetTracker.onEnd(candidate.key);
     // A run that resumed generated only a part of the output.
--- a/packages/relay/src/runs/selectTarget.ts
+++ b/packages/relay/src/runs/selectTarget.ts
@@ -1,4 +1,5 @@
 import { setTimeout as delay } from 'node:timers/promises';
+import * as clocks from '@comfreydrum/clock';
 import { hasFreeSlot, isCold, preferWarm, type Candidate } from '../chooseTarget';
 import type { LimitedTarget, SendPermit } from '../limits/createSendSchedule';
 import { waitForPlace, type PlaceOutcome } from '../placing/waitForPlace';
@@ -134,8 +135,13 @@
     return deny({ reason: 'target-limits', retryAfterMs: permit.retryAfterMs });
   }
   const grantedAtMs = clock.monotonicMs();
-  const signal = AbortSignal.any([context.callerDisconnected, context.mustEnd]);
+  const end = clocks.createDeadline(context.deadlineAtMs - grantedAtMs, [
+    context.callerDisconnected,
+    context.mustEnd,
+  ]);
+  const { signal } = end;
   if (permit.waitMs > 0) await delay(permit.waitMs, undefined, { signal }).catch(() => {});
+  end.release();
   const lateMs = clock.monotonicMs() - grantedAtMs - permit.waitMs;
   if (lateMs > permitValidityMs) return selectTarget(dependencies, context, options);
   return select(limited.find(({ key }) => key === permit.targetKey) ?? first);
