Followers: a watch that never ends is given up

Behind it, a follower trusts its client to end each call, and says nothing while one doesn't end.

Evidence: the holder applies each revision by its watch up to one silence, and from then on only by the read that keys need at 4.75 s. Two tests with a client that never answers failed before, each time: createKindFollower and createPlanTracker.

Change: the follower of the plan, the list and the evacuations gives up a watch 1 s after its wait, whatever its client does, logs it as a failed call and watches on from the same version.

--- a/packages/fleet/src/createPlanTracker.test.ts
+++ b/packages/fleet/src/createPlanTracker.test.ts
@@ -1,6 +1,7 @@
 import * as clocks from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import * as telemetry from '@comfreydrum/telemetry';
+import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import {
@@ -218,4 +219,15 @@
   assert.ok(tookMs < inForceMs, `in force after ${Math.round(tookMs)} ms`);
 });
 
+// Guards against a plan that is followed no more, as a watch of the holder never ended.
+test('follows the plan again although a watch never ends', async () => {
+  const { tracker, client } = createTracker({ list: [stored(4, 10)], version: 10 });
+  await tracker.component.start?.();
+  const isWatchedAgain = () => client.calls.filter((call) => call.startsWith('watch')).length === 2;
+  await testing.waitUntil(isWatchedAgain, inForceMs, 'a second watch');
+  client.add({ fail: 'unreachable' }, { watch: { version: 11, changed: [stored(5, 11)] } });
+  await waitForUpdates();
+  assert.is(tracker.current()?.revision, 5);
+});
+
 test.run();
--- a/packages/object-store/src/createKindFollower.test.ts
+++ b/packages/object-store/src/createKindFollower.test.ts
@@ -1,4 +1,5 @@
 import * as clocks from '@comfreydrum/clock';
+import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import * as objectStore from './index';
@@ -77,4 +78,35 @@
   ]);
 });
 
+// Guards against a follower that waits for good for a watch which its client never ends.
+test('gives up a watch that long outlasts its wait, and watches on from the same version', async () => {
+  const client = createScriptedClient({ list: [], version: 5 });
+  const failures: string[] = [];
+  const changes: string[] = [];
+  const abort = new AbortController();
+  const follower = objectStore.createKindFollower({
+    client,
+    clock: clocks.createSystemClock(),
+    kind: 'k',
+    watchTimeoutMs: () => 10,
+    minIntervalMs: () => 0,
+    maxRetryMs: 2,
+    random: () => 0.5,
+    onSnapshot: () => {},
+    onChange: ({ changed }) => changes.push(...changed.map(({ name }) => name)),
+    onSynced: () => {},
+    onFailure: ({ kind, message }) => failures.push(`${kind}: ${message}`),
+  });
+  void follower.run(abort.signal);
+  await testing.waitUntil(() => client.calls.length === 3, 3_000, 'a second watch');
+  assert.equal(client.calls, ['list k', 'watch k 5', 'watch k 5']);
+  assert.is(failures.length, 1);
+  assert.match(failures[0]!, /^unreachable: the watch of k had not ended/);
+  client.add({ watch: { version: 6, changed: [object('late', 6)] } });
+  client.add({ watch: { version: 7, changed: [object('a', 7)] } });
+  await testing.waitUntil(() => client.calls.length === 4, 1_000, 'the next watch');
+  assert.equal(changes, ['a'], 'the answer to the watch that was given up is ignored');
+  abort.abort();
+});
+
 test.run();
--- a/packages/object-store/src/createKindFollower.ts
+++ b/packages/object-store/src/createKindFollower.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import * as clocks from '@comfreydrum/clock';
+import * as errors from '@comfreydrum/errors';
 import type { PlatformClient, StoredObject, WatchBatch } from './PlatformClient';
 import type { PlatformFailure } from './PlatformFailure';
 
@@ -33,9 +34,31 @@
 }
 
 const minRetryFraction = 0.1;
+/** A watch that outlasts its wait by more than this is given up, whatever its client does; longer than the client's own margin. */
+const watchOverdueMs = 1_000;
 /** How often a disabled follower checks whether it is enabled again. */
 const enabledCheckIntervalMs = 50;
 
+/** Watches like the client, but never for much longer than `timeoutMs`. */
+const watchWithinTime = async (
+  client: Pick<PlatformClient, 'watch'>,
+  kind: string,
+  since: number,
+  timeoutMs: number,
+  stopSignal: AbortSignal,
+): ReturnType<PlatformClient['watch']> => {
+  const deadline = clocks.createDeadline(timeoutMs + watchOverdueMs, [stopSignal]);
+  const { signal } = deadline;
+  const givenUp = new Promise<Awaited<ReturnType<PlatformClient['watch']>>>((resolve) => {
+    signal.addEventListener('abort', () => {
+      const message = `the watch of ${kind} had not ended ${watchOverdueMs} ms after its wait of ${timeoutMs} ms`;
+      resolve(errors.err({ kind: 'unreachable', step: 'watch objects', peer: 'store', message }));
+    });
+  });
+  const watched = client.watch(kind, since, timeoutMs, signal);
+  return Promise.race([watched, givenUp]).finally(deadline.release);
+};
+
 /** Creates a follower; its first call is a list. */
 export const createKindFollower = (options: KindFollowerOptions): KindFollower => {
   const { client, clock, kind } = options;
@@ -51,7 +74,7 @@
   };
 
   const watch = async (requestedAt: clocks.Timestamp, since: number, signal: AbortSignal) => {
-    const batch = await client.watch(kind, since, options.watchTimeoutMs(), signal);
+    const batch = await watchWithinTime(client, kind, since, options.watchTimeoutMs(), signal);
     if (!batch.ok) {
       if (batch.error.kind === 'expired') sinceVersion = undefined;
       return batch.error;
