A store that comes back from an older copy: era, list, orders, tokens

Cause: revisions are compared although the store, after coming back, gives them out again. The list ignored the entries that targets wrote again, whose revisions were lower. A daemon that starts takes the copy for the present state and gives orders by it. Nothing read Store-Era.

The log had no line that the store had lost anything.

Change: the store's client reads the era. A follower lists again when a watch is answered in another era. The list then forgets the revisions of before, keeps what it knows for the 2.2 s in which targets register again, holds back entries that may be older, and lets formation give no orders meanwhile; lists that daemons share carry the era. Orders to empty failure domains stay in force as long. The record of the lease has the era; a holder that finds it of an earlier one, or none although the fleet has run before, waits for the targets too. Tokens get an offset that is raised when a later holder may have been lost, and when targets refuse a token though no other holder is recorded.

Why it works: within an era the store is linearizable and one follower's calls are in order, so a whole list needs no comparison with the one before; what is missing or older in it is bounded by the time in which targets write again.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -305,6 +305,7 @@
       ...resolveSharedDependencies(resolver),
       calls: resolver.resolve(relayTokens.calls),
       key: leaseKey,
+      isFirstStart: daemonSettings.store.isFirstStart,
       runId,
       address: daemonSettings.peers.listen,
       checkInPayload: createCheckInPayload(resolver, stateExchange),
--- a/packages/fleet/src/createEvacuationTracker.test.ts
+++ b/packages/fleet/src/createEvacuationTracker.test.ts
@@ -143,4 +143,16 @@
   assert.is(JSON.stringify(response), '{}');
 });
 
+// Guards against requests to a failure domain whose order the store lost by coming back from an older copy.
+test('stay in force until the operator has had time to write them again in another era', async () => {
+  const known = { list: [stored('a', 20)], version: 20, era: 1 };
+  const { tracker, clock, deliver } = await create(true, known);
+  await deliver({ fail: 'expired' }, { list: [], version: 5, era: 2 });
+  assert.not.ok(tracker.mayReceive('a'));
+  await waitForUpdates(150);
+  clock.advance(fleet.registrationGraceMs);
+  await deliver({ watch: { version: 6, era: 2 } }, { watch: { version: 7, era: 2 } });
+  assert.ok(tracker.mayReceive('a'));
+});
+
 test.run();
--- a/packages/fleet/src/createEvacuationTracker.ts
+++ b/packages/fleet/src/createEvacuationTracker.ts
@@ -3,6 +3,7 @@
 import * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { Evacuations } from './Evacuations';
+import { registrationGraceMs } from './registrationGraceMs';
 
 /** Object kind of the orders to empty failure domains; an object is named by its failure domain. */
 export interface EvacuationSource {
@@ -66,6 +67,9 @@
   const endedAtMs = new Map<string, number>();
   /** Content of the store as of the follower's position. */
   const stored = new Set<string>();
+  let era: objectStore.Era;
+  /** Until when orders that the store lost by coming back from an older copy stay in force. */
+  let keptUntilMs = -Infinity;
   let ordered: ReadonlySet<string> = new Set();
   let confirmedAt: clocks.Timestamp | undefined;
   let isFailing = false;
@@ -113,7 +117,16 @@
     minIntervalMs: () => minIntervalMs,
     maxRetryMs,
     random: options.random,
-    onSnapshot: (objects) => {
+    onSnapshot: (objects, snapshotEra) => {
+      if (era !== undefined && snapshotEra !== undefined && snapshotEra !== era) {
+        keptUntilMs = clock.monotonicMs() + registrationGraceMs;
+        const fields = { step: 'evacuation', era: snapshotEra, before: era };
+        log.warn(
+          fields,
+          'the store has come back from an older copy; orders stay in force for now',
+        );
+      }
+      era = snapshotEra ?? era;
       stored.clear();
       objects.forEach(({ name }) => stored.add(name));
     },
@@ -124,7 +137,8 @@
     onSynced: (moment) => {
       if (isFailing) log.info({ step: 'evacuation', peer: 'store' }, 'store is reachable again');
       isFailing = false;
-      apply(new Set(stored), moment, 'store');
+      const kept = clock.monotonicMs() < keptUntilMs ? ordered : [];
+      apply(new Set([...stored, ...kept]), moment, 'store');
     },
     onFailure: ({ kind, step, peer, message }) => {
       if (kind === 'expired') return;
--- a/packages/fleet/src/createFleetStateExchange.ts
+++ b/packages/fleet/src/createFleetStateExchange.ts
@@ -57,6 +57,7 @@
   plan: zod.object({ revision: zod.number(), ageMs: zod.number() }).optional(),
   targets: zod
     .object({
+      era: zod.number().optional(),
       cursor: cursorSchema,
       ageMs: zod.number(),
       isWhole: zod.boolean(),
--- a/packages/fleet/src/createTargetList.test.ts
+++ b/packages/fleet/src/createTargetList.test.ts
@@ -119,4 +119,99 @@
   assert.equal(idsOf(list), ['a']);
 });
 
+const settleMs = 2_300;
+
+const sleep = (durationMs: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+/** A list at revision 30 in era 1, and then what a copy from revision 5 says in era 2. */
+const createRestoredList = async (
+  known: readonly ReturnType<typeof stored>[],
+  copied: readonly ReturnType<typeof stored>[],
+) => {
+  const created = await createList({ list: known, version: 30, era: 1 });
+  created.client.add({ fail: 'expired' }, { list: copied, version: 5, era: 2 });
+  await waitForUpdates();
+  return created;
+};
+
+// Guards against entries that are ignored for their lower versions after the store came back from an older copy.
+test('takes what targets write again under lower versions in another era', async () => {
+  const { list, client } = await createRestoredList([stored('a', 30)], [stored('a', 4)]);
+  client.add({ watch: { version: 6, era: 2, changed: [stored('a', 6, 'leaving')] } });
+  await waitForUpdates();
+  assert.is(list.all().get('a')?.state, 'leaving');
+});
+
+// Guards against targets that are taken for what they were when the copy was made.
+test('keeps what it knows in another era until targets have had time to write again', async () => {
+  const { list, client, clock } = await createRestoredList(
+    [stored('leaving', 29, 'leaving'), stored('new', 30), stored('gone', 28)],
+    [stored('leaving', 3), stored('gone', 4), stored('departs', 5, 'leaving')],
+  );
+  assert.not(list.isSettled());
+  assert.equal(idsOf(list), ['departs', 'gone', 'leaving', 'new']);
+  assert.is(list.all().get('leaving')?.state, 'leaving');
+  client.add({
+    watch: { version: 7, era: 2, changed: [stored('new', 7)], deletedNames: ['gone'] },
+  });
+  await waitForUpdates();
+  clock.advance(settleMs);
+  await sleep(settleMs);
+  assert.ok(list.isSettled());
+  assert.equal(idsOf(list), ['departs', 'leaving', 'new']);
+  assert.is(list.all().get('leaving')?.state, 'live', 'it has not written again');
+});
+
+test('does not bring back a target that was removed shortly before the store came back', async () => {
+  const { list, client, clock } = await createList(
+    { list: [stored('a', 30)], version: 30, era: 1 },
+    { watch: { version: 31, era: 1, deletedNames: ['a'] } },
+  );
+  client.add({ fail: 'expired' }, { list: [stored('a', 4)], version: 5, era: 2 });
+  await waitForUpdates();
+  assert.equal(idsOf(list), []);
+  clock.advance(settleMs);
+  await sleep(settleMs);
+  assert.equal(idsOf(list), ['a'], 'it is still listed');
+});
+
+test('ignores a list of an earlier era that another daemon shares, and enters a later one', async () => {
+  const { list, client, clock } = await createRestoredList([stored('a', 30)], [stored('a', 4)]);
+  const share = (era: number, version: number, state: string) =>
+    list.applyShared(
+      {
+        era,
+        cursor: { listId: 'other', changeCount: 1 },
+        ageMs: 0,
+        isWhole: true,
+        changed: [{ version, target: { id: 'a', state, startedAtMs: 1 } as fleet.Target }],
+        removedIds: [],
+      },
+      clocks.readTimestamp(clock),
+    );
+  share(1, 40, 'leaving');
+  assert.is(list.all().get('a')?.state, 'live');
+  share(3, 2, 'leaving');
+  assert.is(list.all().get('a')?.state, 'leaving');
+  assert.is(list.share(undefined)?.era, 3);
+  client.add({ fail: 'expired' }, { list: [stored('a', 2)], version: 2, era: 3 });
+  await waitForUpdates();
+  client.add({ watch: { version: 3, era: 3, changed: [stored('a', 3)] } });
+  await waitForUpdates();
+  assert.is(list.all().get('a')?.state, 'live');
+});
+
+test('is not settled at once when the daemon started without the store', async () => {
+  const { list, client, clock } = await createList({ fail: 'unreachable' });
+  client.add({ list: [stored('a', 4)], version: 5 });
+  await sleep(200);
+  assert.equal(idsOf(list), ['a']);
+  assert.not(list.isSettled());
+  clock.advance(settleMs);
+  assert.ok(list.isSettled());
+});
+
 test.run();
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -4,6 +4,7 @@
 import * as objectStore from '@comfreydrum/object-store';
 import type * as telemetry from '@comfreydrum/telemetry';
 import { groupsOf, type Group } from './Group';
+import { registrationGraceMs } from './registrationGraceMs';
 import type { Target } from './Target';
 
 /** Object kind under which targets register themselves, and the decoder of an entry. */
@@ -26,6 +27,8 @@
 
 /** The changes of a list since a cursor, or the complete list if `isWhole`. */
 export interface SharedTargets {
+  /** Era of the store to which the versions of the entries belong. */
+  readonly era?: objectStore.Era;
   readonly cursor: ListCursor;
   readonly ageMs: number;
   readonly isWhole: boolean;
@@ -44,6 +47,11 @@
   readonly ageMs: () => number;
   /** Whether the list was read or received at least once. */
   readonly isLoaded: () => boolean;
+  /**
+   * Whether the targets have had time to register again since the store came back from an older copy, or became reachable
+   * for a daemon that started without it. Before that, entries may be older than the state of their targets.
+   */
+  readonly isSettled: () => boolean;
   readonly onChange: (listener: () => void) => void;
   /**
    * Returns the changes since a cursor of another daemon, or the complete list if it is too old.
@@ -84,8 +92,6 @@
 const maxKeptRemovals = 512;
 const maxRetryMs = 600;
 
-/** Time for targets to register again when their entries are missing after a store outage. */
-const registrationGraceMs = 2_200;
 /** After a gap of this length, entries may have expired only because the store was unavailable. */
 const outageAfterMs = 2_500;
 
@@ -102,6 +108,11 @@
   /** List version at which each entry was last changed or removed. */
   const changedAtCount = new Map<string, number>();
   const removedAtCount = new Map<string, number>();
+  let era: objectStore.Era;
+  let settledAtMs = -Infinity;
+  /** Entries of a store that came back from an older copy, of targets about which more may be known already. */
+  const heldEntries = new Map<string, objectStore.StoredObject>();
+  let settleTimer: NodeJS.Timeout | undefined;
   let cursor: ListCursor | undefined;
   let groups: readonly Group[] | undefined;
   let version = 0;
@@ -146,6 +157,7 @@
     clearTimeout(expiring.get(id));
     expiring.delete(id);
     versions.delete(id);
+    heldEntries.delete(id);
     unreadable.delete(id);
     const wasPresent = targets.delete(id);
     recordChange(id);
@@ -179,6 +191,7 @@
     version: entryVersion,
   }: objectStore.StoredObject): boolean => {
     if ((versions.get(name) ?? 0) >= entryVersion) return false;
+    heldEntries.delete(name);
     const decoded = source.decode(name, value);
     if (!decoded.ok) {
       if (!unreadable.has(name)) {
@@ -217,6 +230,54 @@
     if (unconfirmedMs > outageAfterMs + watchWaitMs) storeRecoveredAtMs = nowMs;
   };
 
+  const isSettled = () => clock.monotonicMs() >= settledAtMs;
+
+  const applyHeldEntries = () => {
+    const held = [...heldEntries.values()];
+    heldEntries.clear();
+    held.forEach(({ name }) => versions.delete(name));
+    const appliedCount = held.filter(applyObject).length;
+    const fields = { step: 'target list', era, appliedCount };
+    log.info(fields, 'took the entries that were held back since the store came back');
+    if (appliedCount > 0) notifyListeners();
+  };
+
+  /** Gives the targets time to register again. */
+  const beginSettling = () => {
+    settledAtMs = clock.monotonicMs() + registrationGraceMs;
+    clearTimeout(settleTimer);
+    settleTimer = setTimeout(applyHeldEntries, registrationGraceMs).unref();
+  };
+
+  /** Forgets the versions of the former era; what they say of the targets is kept. */
+  const enterEra = (next: objectStore.Era) => {
+    const before = era;
+    era = next ?? era;
+    if (before === undefined || era === before) return;
+    versions.clear();
+    heldEntries.clear();
+    storeRecoveredAtMs = clock.monotonicMs();
+    beginSettling();
+    const fields = { step: 'target list', era, before, targetCount: targets.size };
+    log.warn(fields, 'the store has come back from an older copy');
+  };
+
+  /** Reports whether an entry may be older than what is known of its target. */
+  const mayBeOutdated = ({ name, value }: objectStore.StoredObject): boolean => {
+    if (isSettled() || versions.has(name)) return false;
+    const known = targets.get(name);
+    if (known === undefined) return removedAtCount.has(name);
+    const decoded = source.decode(name, value);
+    if (!decoded.ok) return true;
+    const { state, startedAtMs } = decoded.value;
+    return startedAtMs <= known.startedAtMs && state !== 'leaving';
+  };
+
+  const holdEntry = (object: objectStore.StoredObject) => {
+    heldEntries.set(object.name, object);
+    versions.set(object.name, object.version);
+  };
+
   const follower = objectStore.createKindFollower({
     client: options.client,
     clock,
@@ -226,17 +287,22 @@
     minIntervalMs: options.minIntervalMs,
     maxRetryMs,
     random: options.random,
-    onSnapshot: (objects) => {
+    onSnapshot: (objects, snapshotEra) => {
       recordOutageEnd();
+      enterEra(snapshotEra);
+      if (!isLoaded && isFailing) beginSettling();
       isLoaded = true;
       cursor = undefined;
       const names = new Set(objects.map(({ name }) => name));
       [...targets.keys()].filter((id) => !names.has(id)).forEach(remove);
+      const outdated = objects.filter(mayBeOutdated);
+      outdated.forEach(holdEntry);
       objects.forEach(applyObject);
       notifyListeners();
     },
     onChange: (batch) => {
       recordOutageEnd();
+      batch.deletedNames.forEach((id) => heldEntries.delete(id));
       const removedCount = batch.deletedNames.filter(remove).length;
       const appliedCount = batch.changed.filter(applyObject).length;
       if (removedCount + appliedCount > 0) notifyListeners();
@@ -259,6 +325,11 @@
     'For how long the list of targets may be out of date.',
     ageMs,
   );
+  options.metrics.gauge(
+    'comfreydrum_store_era',
+    'Era of the store, which rises when it comes back from an older copy; 0 if it names none.',
+    () => era ?? 0,
+  );
 
   return {
     all: () => targets,
@@ -269,6 +340,7 @@
     version: () => version,
     ageMs,
     isLoaded: () => isLoaded,
+    isSettled,
     onChange: (listener) => {
       listeners.add(listener);
     },
@@ -280,11 +352,12 @@
       const idsAfter = (counts: ReadonlyMap<string, number>) =>
         [...counts].filter(([, count]) => count > sinceCount).map(([id]) => id);
       return {
+        era,
         cursor: { listId: options.listId, changeCount: version },
         ageMs: ageMs(),
         isWhole: !isKnownState,
         changed: idsAfter(changedAtCount).map((id) => ({
-          version: versions.get(id) ?? 0,
+          version: heldEntries.has(id) ? 0 : (versions.get(id) ?? 0),
           target: targets.get(id)!,
         })),
         removedIds: isKnownState ? idsAfter(removedAtCount) : [],
@@ -296,6 +369,8 @@
       const isOlder = confirmedAt !== undefined && sharedAt.monotonicMs < confirmedAt.monotonicMs;
       // A list that this daemon has read from the store since then is newer.
       if (isOlder && cursor === undefined) return;
+      if (era !== undefined && shared.era !== undefined && shared.era < era) return;
+      enterEra(shared.era);
       recordOrigin('daemon');
       cursor = shared.cursor;
       isLoaded = true;
@@ -306,6 +381,7 @@
         : shared.removedIds.filter((id) => targets.has(id));
       removed.forEach(removeEntry);
       shared.changed.forEach((entry) => {
+        heldEntries.delete(entry.target.id);
         versions.set(entry.target.id, entry.version);
         targets.set(entry.target.id, entry.target);
         recordChange(entry.target.id);
@@ -320,6 +396,7 @@
       stop: async () => {
         abort.abort();
         expiring.forEach((timer) => clearTimeout(timer));
+        clearTimeout(settleTimer);
         await followerRun;
       },
     },
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -46,3 +46,4 @@
 } from './createEvacuationTracker';
 export { createEvacuationExchange, type EvacuationExchange } from './createEvacuationExchange';
 export { noEvacuations } from './noEvacuations';
+export { registrationGraceMs } from './registrationGraceMs';
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -253,7 +253,7 @@
     const state = lease.state();
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
-    if (!state.mayAct || targets.ageMs() > maxListAgeMs) return;
+    if (!state.mayAct || targets.ageMs() > maxListAgeMs || !targets.isSettled()) return;
     if (state.token !== mixToken) mixControl.reset();
     mixToken = state.token;
     const listed = targets.all();
--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -29,7 +29,7 @@
 };
 
 /** Starts daemons in order; the first one holds the lease before the others start. */
-const startDaemons = async (addresses: readonly string[]) => {
+const startDaemons = async (addresses: readonly string[], isFirstStart = true) => {
   const store = testing.createFakeStore();
   const network = testing.createFakeNetwork();
   const log = telemetry.createLog({ level: 'silent', instanceId: 'test' });
@@ -42,6 +42,7 @@
       clock: clocks.createSystemClock(),
       log,
       key: { kind: 'leases', name: 'controller' },
+      isFirstStart,
       runId: `${address}/${runCount}`,
       address,
       random: () => 0.5,
@@ -163,4 +164,55 @@
   await stop();
 });
 
+// Guards against a holder whose orders targets refuse, as they know a higher token that the store has lost.
+test('gives a token above all earlier ones after the store came back from an older copy', async () => {
+  const { leases, network, store, start, stop } = await startDaemons(['a', 'b']);
+  const copy = store.copy();
+  network.kill('a');
+  await leases[0]!.component.stop?.();
+  assert.ok(await waitUntil(() => mayAct(leases[1]!), 5_000));
+  const lostToken = tokenOf(leases[1]!);
+  network.kill('b');
+  await leases[1]!.component.stop?.();
+  store.comeBackFrom(copy);
+  const next = await start('c');
+  assert.ok(await waitUntil(() => next.state().kind === 'holder', 5_000));
+  assert.ok(tokenOf(next) > lostToken, `${tokenOf(next)} after ${lostToken}`);
+  await next.component.stop?.();
+  await stop();
+});
+
+// Guards against orders on entries that targets have not written again since the store came back.
+test('does not act at once when the record of the lease is of an earlier era', async () => {
+  const { leases, network, store, start, stop } = await startDaemons(['a']);
+  const copy = store.copy();
+  network.kill('a');
+  await leases[0]!.component.stop?.();
+  store.comeBackFrom(copy);
+  const next = await start('a');
+  assert.ok(await waitUntil(() => next.state().kind === 'holder', 2_000));
+  await delay(1_900);
+  assert.not(mayAct(next));
+  assert.ok(await waitUntil(() => mayAct(next), 2_000));
+  await next.component.stop?.();
+  await stop();
+});
+
+test('does not act at once when there is no record, unless the fleet starts for the first time', async () => {
+  const { leases, stop } = await startDaemons(['a'], false);
+  assert.is(leases[0]!.state().kind, 'holder');
+  assert.not(mayAct(leases[0]!));
+  assert.ok(await waitUntil(() => mayAct(leases[0]!), 2_000));
+  await stop();
+});
+
+test('raises its token when targets refuse it although no other holder is recorded', async () => {
+  const { leases, stop } = await startDaemons(['a']);
+  const refusedToken = tokenOf(leases[0]!);
+  leases[0]!.resign('a target has seen a higher token');
+  assert.ok(await waitUntil(() => mayAct(leases[0]!), 3_000));
+  assert.ok(tokenOf(leases[0]!) > refusedToken + 1_000);
+  await stop();
+});
+
 test.run();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -1,4 +1,5 @@
 import * as clocks from '@comfreydrum/clock';
+import * as fleet from '@comfreydrum/fleet';
 import type * as lifecycle from '@comfreydrum/lifecycle';
 import type * as objectStore from '@comfreydrum/object-store';
 import type * as peers from '@comfreydrum/peers';
@@ -45,6 +46,8 @@
   readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
   readonly key: objectStore.ObjectKey;
+  /** Whether no daemon has held the lease before; otherwise a missing record was lost by the store. */
+  readonly isFirstStart: boolean;
   /** Identifies this run of this daemon. */
   readonly runId: string;
   /** Address at which other daemons call this one. */
@@ -67,6 +70,10 @@
   /** Empty if the last holder released the lease. */
   holderRunId: zod.string(),
   address: zod.string(),
+  /** Era of the store in which the holder took over. */
+  era: zod.number().optional(),
+  /** Added to the version of the record to get the holder's token. */
+  tokenOffset: zod.number().default(0),
 });
 const loadsSchema = zod.record(zod.string(), zod.number());
 const checkInRequestSchema = zod.object({
@@ -107,6 +114,9 @@
 /** Reports of requests in progress are ignored after this time. */
 const loadsValidityMs = 1_500;
 
+/** More than the versions that the store loses when it comes back from a copy some seconds old. */
+const lostVersions = 1_000_000;
+
 /** How long the holder keeps its choice of observers; each choice takes time in proportion to the daemons. */
 const observersValidityMs = 1_000;
 /** Addresses per check-in response. These are enough to find a holder, and keep the response small. */
@@ -143,6 +153,12 @@
   let holder: holderSearch.Holder | undefined;
   let version: number | undefined;
   let token: number | undefined;
+  let era: objectStore.Era;
+  let tokenOffset = 0;
+  /** Whether the record may be of an earlier era, so that targets may know of later holders than it names. */
+  let isRecordOutdated = false;
+  /** Whether a target has refused the token of this daemon since it last read the record. */
+  let wasOutdated = false;
   let confirmedAt: clocks.Timestamp | undefined;
   let actsFromMs = 0;
   let failures = { refused: 0, silent: 0 };
@@ -224,7 +240,8 @@
   const writeLease = async (holderRunId: string, waitsMs: number): Promise<void> => {
     const askedAt = clocks.readTimestamp(clock);
     const condition = version === undefined ? ('absent' as const) : { version };
-    const put = await client.put(key, { holderRunId, address }, condition, 'safety');
+    const record = { holderRunId, address, era, tokenOffset };
+    const put = await client.put(key, record, condition, 'safety');
     if (!put.ok) {
       const { kind, step, peer, message } = put.error;
       log.info({ step, peer, kind, version }, message);
@@ -235,10 +252,27 @@
     if (holderRunId === '') return;
     confirmedAt = askedAt;
     if (token !== undefined) return;
-    token = put.value;
+    token = put.value + tokenOffset;
     holder = { runId, address };
-    actsFromMs = clock.monotonicMs() + waitsMs;
-    log.info({ step: 'lease', token, waitsMs }, 'acquired the lease');
+    // The entries of targets may be as old as the record.
+    const ownWaitMs = Math.max(waitsMs, isRecordOutdated ? fleet.registrationGraceMs : 0);
+    actsFromMs = clock.monotonicMs() + ownWaitMs;
+    isRecordOutdated = false;
+    log.info({ step: 'lease', token, waitsMs: ownWaitMs, era }, 'acquired the lease');
+  };
+
+  /** Raises the next token above those of holders that the record no longer names. */
+  const raiseTokens = (reason: string) => {
+    tokenOffset += lostVersions;
+    log.warn({ step: 'lease', tokenOffset, era }, `raised the tokens: ${reason}`);
+  };
+
+  /** Learns the era of the store, and whether the record is of an earlier one. */
+  const enterEra = (next: objectStore.Era, recordEra: objectStore.Era) => {
+    const before = era;
+    era = next ?? era;
+    if (recordEra !== undefined) isRecordOutdated = recordEra !== era;
+    else if (before !== undefined && before !== era) isRecordOutdated = true;
   };
 
   const readLease = async (): Promise<boolean> => {
@@ -247,6 +281,10 @@
       if (got.error.kind !== 'not-found') return false;
       version = undefined;
       holder = undefined;
+      enterEra(got.error.era, undefined);
+      if (!options.isFirstStart) isRecordOutdated = true;
+      if (wasOutdated) raiseTokens('the record is lost');
+      wasOutdated = false;
       return true;
     }
     const checked = recordSchema.safeParse(got.value.value);
@@ -256,8 +294,13 @@
         'lease record is invalid: expected holderRunId and address',
       );
     }
-    const { holderRunId = '', address: holderAddress = '' } = checked.data ?? {};
+    const { holderRunId = '', address: holderAddress = '', era: recordEra } = checked.data ?? {};
     version = got.value.version;
+    enterEra(got.value.era, recordEra);
+    tokenOffset = Math.max(tokenOffset, checked.data?.tokenOffset ?? 0);
+    const isOwn = holderRunId === '' || holderRunId === runId;
+    if (wasOutdated && isOwn) raiseTokens('no other holder is recorded');
+    wasOutdated = false;
     holder = holderRunId === '' ? undefined : { runId: holderRunId, address: holderAddress };
     return true;
   };
@@ -288,6 +331,7 @@
       return;
     }
     const isOwnEarlierRun = holder?.address === address;
+    if (isRecordOutdated) raiseTokens('the store has come back from an older copy');
     const mayActAtOnce = holder === undefined || hasHolderStopped || isOwnEarlierRun;
     await writeLease(runId, mayActAtOnce ? 0 : leaseValidityMs);
   };
@@ -367,7 +411,10 @@
       if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
       return { kind: 'holder', token, mayAct: isConfirmed() && clock.monotonicMs() >= actsFromMs };
     },
-    resign: stepDown,
+    resign: (reason) => {
+      wasOutdated = true;
+      stepDown(reason);
+    },
     daemonCount: () => (isHolder() ? countDaemons() : daemonCount),
     otherLoads: () => {
       if (isHolder()) {
--- a/packages/object-store/src/PlatformClient.ts
+++ b/packages/object-store/src/PlatformClient.ts
@@ -1,4 +1,5 @@
 import type * as errors from '@comfreydrum/errors';
+import type { Era } from './Era';
 import type { ListedInstance } from './ListedInstance';
 import type { PlatformFailure } from './PlatformFailure';
 
@@ -14,9 +15,22 @@
   readonly value: unknown;
 }
 
+/** One object, as read. */
+export interface ReadObject extends StoredObject {
+  readonly era?: Era;
+}
+
+/** All objects of a kind, and the version from which a watch continues. */
+export interface ObjectList {
+  readonly version: number;
+  readonly objects: readonly StoredObject[];
+  readonly era?: Era;
+}
+
 /** The changes of one kind since a version; deleted objects are listed by name only. */
 export interface WatchBatch {
   readonly version: number;
+  readonly era?: Era;
   readonly changed: readonly StoredObject[];
   readonly deletedNames: readonly string[];
 }
@@ -31,12 +45,8 @@
 
 /** The platform's object API. */
 export interface PlatformClient {
-  readonly get: (key: ObjectKey, priority?: CallPriority) => PlatformResult<StoredObject>;
-  /** Returns all objects of a kind, and the version from which a watch continues. */
-  readonly list: (
-    kind: string,
-    priority?: CallPriority,
-  ) => PlatformResult<{ readonly version: number; readonly objects: readonly StoredObject[] }>;
+  readonly get: (key: ObjectKey, priority?: CallPriority) => PlatformResult<ReadObject>;
+  readonly list: (kind: string, priority?: CallPriority) => PlatformResult<ObjectList>;
   /** Writes an object if the condition holds; returns the new version. */
   readonly put: (
     key: ObjectKey,
--- a/packages/object-store/src/PlatformFailure.ts
+++ b/packages/object-store/src/PlatformFailure.ts
@@ -1,4 +1,5 @@
 import type * as errors from '@comfreydrum/errors';
+import type { Era } from './Era';
 
 /**
  * Why a platform call failed.
@@ -11,6 +12,9 @@
  * - `too-large`: the value exceeds the platform's size limit; nothing was written.
  * - `expired`: a watch started at a version older than the history of the platform; list again.
  */
-export type PlatformFailure = errors.Failure<
+export interface PlatformFailure extends errors.Failure<
   'conflict' | 'not-found' | 'refused' | 'unreachable' | 'ambiguous' | 'too-large' | 'expired'
->;
+> {
+  /** The era of the platform, if it answered. */
+  readonly era?: Era;
+}
--- a/packages/object-store/src/createKindFollower.test.ts
+++ b/packages/object-store/src/createKindFollower.test.ts
@@ -78,6 +78,29 @@
   ]);
 });
 
+// Guards against changes of a store that came back from an older copy, taken for those of the one before.
+test('lists again when a watch is answered in another era, and does not apply its changes', async () => {
+  const { calls, seen } = await runFollower(
+    { list: [object('a', 30)], version: 30, era: 1 },
+    { watch: { version: 31, era: 2, changed: [object('b', 31)] } },
+    { list: [object('c', 9)], version: 9, era: 2 },
+    { watch: { version: 10, era: 2, changed: [object('d', 10)] } },
+    { watch: { version: 11, changed: [object('e', 11)] } },
+  );
+  assert.equal(calls, ['list k', 'watch k 30', 'list k', 'watch k 9', 'watch k 10', 'watch k 11']);
+  assert.equal(seen, [
+    'all a',
+    'current',
+    'failed expired',
+    'all c',
+    'current',
+    'changed d gone ',
+    'current',
+    'changed e gone ',
+    'current',
+  ]);
+});
+
 // Guards against a follower that waits for good for a watch which its client never ends.
 test('gives up a watch that long outlasts its wait, and watches on from the same version', async () => {
   const client = createScriptedClient({ list: [], version: 5 });
--- a/packages/object-store/src/createKindFollower.ts
+++ b/packages/object-store/src/createKindFollower.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import * as clocks from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
+import type { Era } from './Era';
 import type { PlatformClient, StoredObject, WatchBatch } from './PlatformClient';
 import type { PlatformFailure } from './PlatformFailure';
 
@@ -19,15 +20,18 @@
   readonly maxRetryMs: number;
   /** Returns uniform numbers from 0 to 1, 1 excluded. */
   readonly random: () => number;
-  /** Receives all objects of the kind after a list. */
-  readonly onSnapshot: (objects: readonly StoredObject[]) => void;
+  /** Receives all objects of the kind after a list, and the era of the platform. */
+  readonly onSnapshot: (objects: readonly StoredObject[], era: Era) => void;
   readonly onChange: (batch: WatchBatch) => void;
   /** Called when everything that the store contained at `moment` has been delivered. */
   readonly onSynced: (moment: clocks.Timestamp) => void;
   readonly onFailure: (failure: PlatformFailure) => void;
 }
 
-/** Lists all objects of one kind, then watches them; lists again when the watch history has expired. */
+/**
+ * Lists all objects of one kind, then watches them; lists again when the watch history has expired or the platform has come
+ * back from an older copy.
+ */
 export interface KindFollower {
   /** Runs until the signal aborts. */
   readonly run: (signal: AbortSignal) => Promise<void>;
@@ -63,22 +67,33 @@
 export const createKindFollower = (options: KindFollowerOptions): KindFollower => {
   const { client, clock, kind } = options;
   let sinceVersion: number | undefined;
+  let era: Era;
 
   const list = async (requestedAt: clocks.Timestamp) => {
     const listed = await client.list(kind);
     if (!listed.ok) return listed.error;
     sinceVersion = listed.value.version;
-    options.onSnapshot(listed.value.objects);
+    era = listed.value.era ?? era;
+    options.onSnapshot(listed.value.objects, era);
     options.onSynced(requestedAt);
     return undefined;
   };
 
-  const watch = async (requestedAt: clocks.Timestamp, since: number, signal: AbortSignal) => {
+  const watch = async (
+    requestedAt: clocks.Timestamp,
+    since: number,
+    signal: AbortSignal,
+  ): Promise<PlatformFailure | undefined> => {
     const batch = await watchWithinTime(client, kind, since, options.watchTimeoutMs(), signal);
     if (!batch.ok) {
       if (batch.error.kind === 'expired') sinceVersion = undefined;
       return batch.error;
     }
+    if (batch.value.era !== undefined && batch.value.era !== era) {
+      sinceVersion = undefined;
+      const message = `the store is in era ${batch.value.era}, the changes of ${kind} are followed in era ${era}`;
+      return { kind: 'expired', step: 'watch objects', peer: 'store', message };
+    }
     sinceVersion = batch.value.version;
     options.onChange(batch.value);
     options.onSynced(requestedAt);
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -1,8 +1,11 @@
+export type { Era } from './Era';
 export type { PlatformFailure } from './PlatformFailure';
 export type {
   CallPriority,
   ObjectKey,
+  ObjectList,
   PlatformClient,
+  ReadObject,
   StoredObject,
   WatchBatch,
   WriteCondition,
--- a/packages/object-store/src/testing/createScriptedClient.ts
+++ b/packages/object-store/src/testing/createScriptedClient.ts
@@ -1,4 +1,5 @@
 import * as errors from '@comfreydrum/errors';
+import type { Era } from '../Era';
 import type { PlatformClient, StoredObject, WatchBatch } from '../PlatformClient';
 import type { PlatformFailure } from '../PlatformFailure';
 
@@ -6,7 +7,7 @@
 
 /** One scripted response: the result of a call, or the kind of its failure. */
 export type ScriptedResponse =
-  | { readonly list: readonly StoredObject[]; readonly version: number }
+  | { readonly list: readonly StoredObject[]; readonly version: number; readonly era?: Era }
   | { readonly watch: Partial<WatchBatch> & { readonly version: number } }
   | { readonly object: StoredObject }
   | { readonly fail: Failed };
@@ -62,7 +63,9 @@
       ),
     list: (kind) =>
       read(`list ${kind}`, (response) =>
-        'list' in response ? { version: response.version, objects: response.list } : undefined,
+        'list' in response
+          ? { version: response.version, objects: response.list, era: response.era }
+          : undefined,
       ),
     watch: (kind, since) =>
       read(`watch ${kind} ${since}`, (response) =>
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -297,6 +297,7 @@
       version: () => 1,
       ageMs: () => 0,
       isLoaded: () => true,
+      isSettled: () => true,
       onChange: () => {},
       share: () => undefined,
       cursor: () => undefined,
--- a/packages/settings/src/relaySettingsSchema.ts
+++ b/packages/settings/src/relaySettingsSchema.ts
@@ -28,6 +28,12 @@
       callTimeoutMs: milliseconds.default(900),
       readsPerSecond: zod.number().positive().describe('Limit for the whole fleet.'),
       writesPerSecond: zod.number().positive().describe('Limit for the whole fleet.'),
+      isFirstStart: zod
+        .boolean()
+        .default(true)
+        .describe(
+          'Whether the fleet starts for the first time, so that the store has no record of it.',
+        ),
     }),
     targets: zod.strictObject({
       checkFencing: zod
--- a/packages/testing/src/platform/createFakeStore.ts
+++ b/packages/testing/src/platform/createFakeStore.ts
@@ -1,11 +1,21 @@
 import * as errors from '@comfreydrum/errors';
 import type * as objectStore from '@comfreydrum/object-store';
 
+/** The content of a fake store at some time. */
+export interface FakeStoreCopy {
+  readonly objects: ReadonlyMap<string, objectStore.StoredObject>;
+  readonly version: number;
+}
+
 /** An in-memory object store with fault injection. */
 export interface FakeStore {
   readonly clientOf: (address: string) => objectStore.PlatformClient;
   /** Rejects the calls of one daemon, and continues to serve the others. */
   readonly rejectCallsOf: (address: string) => void;
+  /** Returns the present content, for `comeBackFrom`. */
+  readonly copy: () => FakeStoreCopy;
+  /** Loses what was written since the copy, and enters the next era. */
+  readonly comeBackFrom: (copy: FakeStoreCopy) => void;
   readonly setDown: (isDown: boolean) => void;
   /** Executes the next write but loses the response. */
   readonly loseNextResponse: () => void;
@@ -15,19 +25,26 @@
 export const createFakeStore = (): FakeStore => {
   const objects = new Map<string, objectStore.StoredObject>();
   let version = 0;
+  let era = 1;
   let down = false;
   let losesNextResponse = false;
   const rejectedAddresses = new Set<string>();
 
   const fail = (kind: objectStore.PlatformFailure['kind']) =>
-    errors.err<objectStore.PlatformFailure>({ kind, step: 'call', peer: 'store', message: kind });
+    errors.err<objectStore.PlatformFailure>({
+      kind,
+      step: 'call',
+      peer: 'store',
+      message: kind,
+      ...(kind === 'not-found' ? { era } : {}),
+    });
   const pathOf = ({ kind, name }: objectStore.ObjectKey) => `${kind}/${name}`;
 
   const clientOf = (address: string): objectStore.PlatformClient => ({
     get: async (key) => {
       if (down || rejectedAddresses.has(address)) return fail('unreachable');
       const object = objects.get(pathOf(key));
-      return object === undefined ? fail('not-found') : errors.ok(object);
+      return object === undefined ? fail('not-found') : errors.ok({ ...object, era });
     },
     put: async (key, value, condition) => {
       if (down || rejectedAddresses.has(address)) return fail('unreachable');
@@ -52,6 +69,13 @@
     rejectCallsOf: (address) => {
       rejectedAddresses.add(address);
     },
+    copy: () => ({ objects: new Map(objects), version }),
+    comeBackFrom: (copy) => {
+      objects.clear();
+      copy.objects.forEach((object, path) => objects.set(path, object));
+      version = copy.version;
+      era += 1;
+    },
     setDown: (isDown) => {
       down = isDown;
     },
