Relay: a bound on the sum of answers and request bodies in memory

Cause: each answer and each request body is bounded, their sum is not.

Change: a budget for answers and one for request bodies, an eighth of memory.processMb each. Beyond it the largest is given up (of equal ones the latest; 16 KiB of each never): an answer that is being read fails with an unknown outcome, an unfinished event ends its run, a body that has not been passed on is refused as memory-full, not run, by its declared length before it comes. Metrics show both budgets.

Why it works: only faulty answers grow without end, so they become the largest, and sound ones stay.

Open: events that wait for callers which read nothing, pages of the store, the stand-alone gateway.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -45,6 +45,13 @@
 /** Time that a starting daemon waits for data of the lease holder before it reads the store itself. */
 const startWaitMs = 1_500;
 const msPerSecond = 1_000;
+const bytesPerMb = 1_048_576;
+/**
+ * Parts of the memory of a process for answers and request bodies. The rest is for the program and its heap, for the
+ * joining of a whole answer or body, and for bytes that were given up and not collected yet.
+ */
+const answersMemoryFraction = 1 / 8;
+const bodiesMemoryFraction = 1 / 8;
 const leaseKey = { kind: 'comfreydrum-leases', name: 'formation' } as const;
 const verdictsKey = { kind: 'comfreydrum-quarantines', name: 'requests' } as const;
 
@@ -90,9 +97,8 @@
 };
 
 const createRelay = (container: tsyringe.DependencyContainer) => {
-  const { ip, failureDomain, callers, targets, keys, plan, retries, shutdown } = container.resolve(
-    relayTokens.settings,
-  );
+  const { ip, failureDomain, callers, targets, keys, plan, retries, shutdown, memory } =
+    container.resolve(relayTokens.settings);
   const { host, port } = peers.parseAddress(callers.listen);
   const { callerWire, targetWire } = container.resolve(relayTokens.platform);
   const evacuations = container.resolve(relayTokens.evacuations);
@@ -144,6 +150,10 @@
       calls: container.resolve(relayTokens.calls),
       peerAddresses: () => container.resolve(relayTokens.lease).contactAddresses(),
     },
+    memory: {
+      answerBytes: memory.processMb * bytesPerMb * answersMemoryFraction,
+      bodyBytes: memory.processMb * bytesPerMb * bodiesMemoryFraction,
+    },
     coldStart: targets.coldStart,
     // Targets may have become cold shortly before the evacuation of their failure domain was taken back.
     assumedColdUntilMs: ({ failureDomain: domain }, { durationMs }) =>
--- a/packages/relay/src/Refusal.ts
+++ b/packages/relay/src/Refusal.ts
@@ -10,6 +10,7 @@
   | 'unknown-key'
   | 'body-too-large'
   | 'body-too-slow'
+  | 'memory-full'
   | 'no-group'
   | 'no-target'
   | 'overload'
--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -10,6 +10,7 @@
 import type { DurationEstimates } from './createDurationEstimates';
 import type { RelayMetrics } from './createRelayMetrics';
 import type { ServiceRetryBudgets } from './createServiceRetryBudgets';
+import type { ByteBudget } from './memory/createByteBudget';
 import type { StallMonitor } from './createStallMonitor';
 import type { TargetLimits } from './limits/createTargetLimits';
 import type { DispatchQueues } from './placing/createDispatchQueues';
@@ -72,4 +73,8 @@
   /** The planned stop of the daemon. */
   readonly drain: lifecycle.DrainPeriod;
   readonly durations: DurationEstimates;
+  /** Bounds the answers of targets in memory. */
+  readonly answerBudget: ByteBudget;
+  /** Bounds the request bodies in memory. */
+  readonly bodyBudget: ByteBudget;
 }
--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -4,6 +4,7 @@
 import { forwardedHeadersOf } from './forwardedHeadersOf';
 import type { Candidate } from './chooseTarget';
 import { isCloseDelimited } from './isCloseDelimited';
+import { releaseWithResponse } from './memory/releaseWithResponse';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import { excuseOf, sendToTarget, type SendFailure } from './sendToTarget';
@@ -23,18 +24,41 @@
 
 const maxResponseBytes = 16_777_216;
 
+/** Reads an answer; its bytes count in the budget until the response to the caller is closed. */
 const readAnswer = async (
+  { answerBudget }: RelayDependencies,
+  { request, response }: RequestContext,
   { body, headers }: targetClient.TargetResponse,
-  method: string,
   peer: string,
 ): Promise<errors.Result<Buffer, targetClient.BodyFailure>> => {
-  const announcedBytes = method === 'HEAD' ? 0 : Number(headers['content-length'] ?? 0);
-  if (announcedBytes <= maxResponseBytes) {
-    return targetClient.readWholeBody(body, peer, maxResponseBytes);
+  const fail = (message: string) =>
+    errors.err<targetClient.BodyFailure>({
+      kind: 'answer-too-large',
+      step: 'read answer',
+      peer,
+      message,
+    });
+  const announcedBytes = request.method === 'HEAD' ? 0 : Number(headers['content-length'] ?? 0);
+  if (announcedBytes > maxResponseBytes) {
+    body.discard();
+    return fail(`the answer of ${peer} has ${announcedBytes} bytes, more than ${maxResponseBytes}`);
+  }
+  let isEvicted = false;
+  const holding = answerBudget.hold(() => {
+    isEvicted = true;
+    body.discard();
+  });
+  const read = await targetClient.readWholeBody(body, peer, maxResponseBytes, holding.resize);
+  if (!read.ok) holding.release();
+  if (isEvicted) {
+    const { limitBytes } = answerBudget;
+    return fail(
+      `the answer of ${peer} was the largest of those in memory, over ${limitBytes} bytes`,
+    );
   }
-  body.discard();
-  const message = `the answer of ${peer} has ${announcedBytes} bytes, more than ${maxResponseBytes}`;
-  return errors.err({ kind: 'answer-too-large', step: 'read answer', peer, message });
+  holding.pin();
+  releaseWithResponse(holding, response);
+  return read;
 };
 
 /** Sends a request to a target and reads the complete response, until the deadline of the request. */
@@ -69,7 +93,7 @@
       return sent;
     }
     const { answer, metadata } = sent.matched;
-    const read = await readAnswer(answer, context.request.method, candidate.address);
+    const read = await readAnswer(dependencies, context, answer, candidate.address);
     const nowMs = clock.monotonicMs();
     if (!isUnwanted()) targetTracker.onProgress(candidate.key, nowMs);
     if (!read.ok) {
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -6,6 +6,7 @@
 import { createEventSplitter, type StreamEvent } from './createEventSplitter';
 import { isCloseDelimited } from './isCloseDelimited';
 import { assessStall } from './assessStall';
+import type { Holding } from './memory/createByteBudget';
 import { makeCloseDelimited } from './makeCloseDelimited';
 import type { PlacedRun } from './placing/createPlacing';
 import type { StreamProgress } from './createStreamProgress';
@@ -63,14 +64,22 @@
   new Promise((resolve) => {
     const { targetTracker, clock, metrics } = dependencies;
     const { response } = context;
+    const { limitBytes } = dependencies.answerBudget;
     const splitter = createEventSplitter();
     let isFirstOfRun = true;
     const resume = () => answer.body.resume();
 
+    let holding: Holding | undefined;
     const settle = (fault: string | undefined) => {
       response.off('drain', resume);
+      holding?.release();
       resolve(fault);
     };
+    /** The bytes of the event that has not come completely. */
+    holding = dependencies.answerBudget.hold(() => {
+      settle(`its event was the largest of the answers in memory, over ${limitBytes} bytes`);
+      answer.body.discard();
+    });
 
     const recordEvent = (id: number | undefined, nowMs: number) => {
       const { lastEventAtMs } = progress.read();
@@ -124,6 +133,7 @@
     const forwardEvents = (events: readonly StreamEvent[]): string | undefined => {
       const { count, fault } = checkEvents(events);
       writeEvents(events.slice(0, count));
+      holding?.resize(splitter.bufferedBytes());
       if (fault !== undefined) return fault;
       return splitter.bufferedBytes() > maxEventBytes
         ? `over ${maxEventBytes} bytes came without an event`
--- a/packages/relay/src/createDurationEstimates.ts
+++ b/packages/relay/src/createDurationEstimates.ts
@@ -1,6 +1,8 @@
 /** Estimates how long requests take, by the name of their route. */
 export interface DurationEstimates {
   readonly record: (routeName: string, durationMs: number) => void;
+  /** Returns the mean time of recent requests of a route; undefined until one has been answered. */
+  readonly meanMs: (routeName: string) => number | undefined;
   /** Returns the time in which nearly all requests of a route end; undefined until one has been answered. */
   readonly upperMs: (routeName: string) => number | undefined;
 }
@@ -34,6 +36,7 @@
       estimates.set(routeName, known === undefined ? first : update(known, durationMs));
       if (estimates.size > maxRoutes) estimates.delete(estimates.keys().next().value!);
     },
+    meanMs: (routeName) => estimates.get(routeName)?.meanMs,
     upperMs: (routeName) => {
       const known = estimates.get(routeName);
       return known && known.meanMs + deviations * known.deviationMs;
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -24,6 +24,8 @@
 import { createDemandExchange, type DemandExchange } from './demand/createDemandExchange';
 import { createDurationEstimates } from './createDurationEstimates';
 import { createRelayMetrics } from './createRelayMetrics';
+import { addMemoryMetrics } from './memory/addMemoryMetrics';
+import { createByteBudget } from './memory/createByteBudget';
 import type { LeavingExchange } from './signals/createLeavingExchange';
 import { createTargetSignals, type SignalOptions } from './signals/createTargetSignals';
 import { createDispatchQueues } from './placing/createDispatchQueues';
@@ -51,6 +53,14 @@
   readonly isHolder: () => boolean;
 }
 
+/** Bounds on what requests in progress keep in memory. */
+export interface MemoryOptions {
+  /** Answers of targets, until their callers have got them. */
+  readonly answerBytes: number;
+  /** Request bodies, until their requests have ended. */
+  readonly bodyBytes: number;
+}
+
 /** The settings and dependencies of a relay. */
 export interface RelayOptions extends CallerListenerOptions {
   readonly failureDomain: string;
@@ -83,6 +93,7 @@
   readonly coldStart?: ColdTargetOptions['bounds'];
   readonly assumedColdUntilMs?: ColdTargetOptions['assumedColdUntilMs'];
   readonly reach: ReachOptions;
+  readonly memory: MemoryOptions;
   readonly signals: SignalOptions;
 }
 
@@ -189,6 +200,9 @@
     'Listed targets that are cold.',
     targetLimits.coldCount,
   );
+  const answerBudget = createByteBudget(options.memory.answerBytes);
+  const bodyBudget = createByteBudget(options.memory.bodyBytes);
+  addMemoryMetrics(options.metrics, { answers: answerBudget, bodies: bodyBudget });
   const drain = lifecycle.createDrainPeriod({
     nowMs: clock.monotonicMs,
     noticeMs: options.noticeMs,
@@ -278,6 +292,8 @@
     targetSignals,
     drain,
     durations: createDurationEstimates(),
+    answerBudget,
+    bodyBudget,
   };
   const callerListener = createCallerListener(dependencies, options);
   hasReceivedRequests = callerListener.hasReceivedRequests;
--- a/packages/relay/src/endlessAnswers.test.ts
+++ b/packages/relay/src/endlessAnswers.test.ts
@@ -352,6 +352,66 @@
   });
 });
 
+const smallMemory = { answerBytes: 2_097_152, bodyBytes: 2_097_152 };
+
+// Guards against answers that fit one by one and together take the memory of the daemon.
+test('gives up the largest answers when many come without end, and keeps the others whole', async () => {
+  const endless = testing.createEndlessTarget({
+    start: headOf(200),
+    repeated: 'a',
+    bytesPerWrite: 65_536,
+  });
+  const small = Buffer.alloc(100_000, 'b').toString();
+  const listener: http.RequestListener = (request, response) => {
+    if (request.headers['x-kind'] === 'endless') endless.listener(request, response);
+    else {
+      request.resume();
+      response.writeHead(200, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's' });
+      setTimeout(() => response.end(small), 50);
+    }
+  };
+  const targets = [{ id: 't1', listener }];
+  await withRelay({ targets, route: filing, memory: smallMemory }, async ({ url }) => {
+    const startedAtMs = performance.now();
+    const endlessCalls = Array.from({ length: 20 }, () =>
+      call(url, { headers: { 'x-kind': 'endless' } }),
+    );
+    const soundCalls = Array.from({ length: 5 }, () => call(url));
+    (await Promise.all(soundCalls)).forEach(isWhole(small));
+    (await Promise.all(endlessCalls)).forEach(isFailure);
+    assert.ok(performance.now() - startedAtMs < 2 * soonMs);
+    assert.ok(
+      endless.counts().sentBytes < 20 * maxSentBytes,
+      `${endless.counts().sentBytes} bytes`,
+    );
+  });
+});
+
+test('gives up the largest unfinished events when many streams have them', async () => {
+  const endless = testing.createEndlessTarget({
+    start: (request) => afterEvents(2)(request) + chunkOf(`data: ${'a'.repeat(60_000)}`),
+    repeated: chunkOf('a'),
+    bytesPerWrite: 1,
+    intervalMs: 1_000,
+  });
+  const targets = [{ id: 't1', listener: endless.listener }];
+  const memory = { ...smallMemory, answerBytes: 200_000 };
+  await withRelay({ targets, route: singleStream, slots: 16, memory }, async ({ url }) => {
+    const headers = { 'x-limit-ms': '1500' };
+    const startedAtMs = performance.now();
+    const endedAtMs: number[] = [];
+    const answers = await Promise.all(
+      Array.from({ length: 8 }, async () => {
+        const answer = await call(url, { headers });
+        endedAtMs.push(performance.now() - startedAtMs);
+        return answer;
+      }),
+    );
+    answers.forEach(isCutAfter(2));
+    assert.is(endedAtMs.filter((ms) => ms < soonMs).length, 5, 'three of 60 kB fit');
+  });
+});
+
 test('forwards a sound stream whatever its length, with comments between its events', async () => {
   const text = Array.from(
     { length: 20_000 },
--- a/packages/relay/src/readBody.ts
+++ b/packages/relay/src/readBody.ts
@@ -1,10 +1,11 @@
 import type * as http from 'node:http';
 import type * as fleet from '@comfreydrum/fleet';
-import type { Refusal } from './Refusal';
+import type { ByteBudget, Holding } from './memory/createByteBudget';
+import { createNotRunRefusal, type Refusal } from './Refusal';
 
 /** A caller's request body, or why it could not be read. */
 export type BodyResult =
-  | { readonly kind: 'body'; readonly bytes: Buffer | null }
+  | { readonly kind: 'body'; readonly bytes: Buffer | null; readonly holding: Holding }
   | { readonly kind: 'refused'; readonly refusal: Refusal }
   | { readonly kind: 'caller-gone' };
 
@@ -28,31 +29,62 @@
   },
 });
 
-/** Reads a request body up to the size limit; refuses it when no data arrives for the idle timeout. */
+const noRoom = ({ limitBytes }: ByteBudget, retryAfterMs: number): BodyResult => {
+  const text = `the request bodies in memory have over ${limitBytes} bytes`;
+  return { kind: 'refused', refusal: createNotRunRefusal('memory-full', text, retryAfterMs) };
+};
+
+/** Where request bodies count, and when there should be room again once there is none. */
+export interface BodyMemory {
+  readonly budget: ByteBudget;
+  readonly retryAfterMs: number;
+}
+
+/**
+ * Reads a request body up to the size limit; refuses it when no data arrives for the idle timeout, or when the bodies in
+ * memory leave no room for it. The reader of a body releases its holding.
+ */
 export const readBody = (
   message: http.IncomingMessage,
   { maxBodyBytes, idleTimeoutMs }: fleet.CallerLimits,
+  { budget, retryAfterMs }: BodyMemory,
 ): Promise<BodyResult> => {
   const declaredBytes = Number(message.headers['content-length'] ?? 0);
   if (declaredBytes > maxBodyBytes) return Promise.resolve(tooLarge(maxBodyBytes));
   const hasBody = declaredBytes > 0 || message.headers['transfer-encoding'] !== undefined;
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    let chunks: Buffer[] = [];
     let sizeBytes = 0;
-    const timer = setTimeout(() => resolve(tooSlow(idleTimeoutMs)), idleTimeoutMs);
+    let isDone = false;
+    let holding: Holding;
+    let timer: NodeJS.Timeout;
     const finish = (result: BodyResult) => {
+      if (isDone) return;
+      isDone = true;
+      chunks = [];
       clearTimeout(timer);
+      if (result.kind !== 'body') holding.release();
       resolve(result);
     };
+    timer = setTimeout(() => finish(tooSlow(idleTimeoutMs)), idleTimeoutMs);
+    holding = budget.hold(() => finish(noRoom(budget, retryAfterMs)));
+    holding.resize(declaredBytes);
     message.on('data', (chunk: Buffer) => {
+      if (isDone) return;
       sizeBytes += chunk.length;
       timer.refresh();
-      if (sizeBytes > maxBodyBytes) finish(tooLarge(maxBodyBytes));
-      else chunks.push(chunk);
+      if (sizeBytes > maxBodyBytes) {
+        finish(tooLarge(maxBodyBytes));
+        return;
+      }
+      chunks.push(chunk);
+      holding.resize(Math.max(declaredBytes, sizeBytes));
+    });
+    message.once('end', () => {
+      if (isDone) return;
+      holding.pin();
+      finish({ kind: 'body', bytes: hasBody ? Buffer.concat(chunks) : null, holding });
     });
-    message.once('end', () =>
-      finish({ kind: 'body', bytes: hasBody ? Buffer.concat(chunks) : null }),
-    );
     message.once('close', () => finish({ kind: 'caller-gone' }));
     message.once('error', () => finish({ kind: 'caller-gone' }));
   });
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -6,6 +6,7 @@
 import { chooseService } from './chooseService';
 import { fingerprintRequest } from './crashes/fingerprintRequest';
 import { readBody } from './readBody';
+import { releaseWithResponse } from './memory/releaseWithResponse';
 import { refuseLargeBody } from './refuseLargeBody';
 import { createNotRunRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
@@ -19,6 +20,8 @@
 import { writeRefusal } from './writeRefusal';
 
 const noServiceRetryAfterMs = 500;
+/** Used until the durations of a route are known. */
+const fullMemoryRetryAfterMs = 1_000;
 const maxLoggedParts = 16;
 
 const refused = (refusal: Refusal): ServeResult => ({ kind: 'refused', refusal });
@@ -47,11 +50,15 @@
   if (admission.kind === 'refused') return admission;
   const { plan, route, customer } = admission;
   const customerName = customer?.name;
-  const body = await readBody(message, plan.limits);
+  const body = await readBody(message, plan.limits, {
+    budget: dependencies.bodyBudget,
+    retryAfterMs: dependencies.durations.meanMs(route.name) ?? fullMemoryRetryAfterMs,
+  });
   if (body.kind === 'refused' && body.refusal.cause === 'body-too-large') {
     return refused(await refuseLargeBody(dependencies, plan, body.refusal));
   }
   if (body.kind !== 'body') return body;
+  releaseWithResponse(body.holding, response);
   await lifecycle.pollConnections();
   if (callerDisconnected.aborted) return { kind: 'caller-gone' };
   const service = chooseService(plan, route, dependencies.random());
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -18,6 +18,8 @@
   readonly route?: Partial<fleet.Route>;
   /** Heads of open groups for a stream route, targets without groups for any other. */
   readonly targets: readonly TestTarget[];
+  readonly memory?: relay.RelayOptions['memory'];
+  readonly maxBodyBytes?: number;
   readonly planAgeMs?: () => number;
   /** Revision of the relay's plan. */
   readonly planRevision?: number;
@@ -116,7 +118,7 @@
     customersByKey: new Map([[testKey, { name: 'court' }]]),
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_024,
+      maxBodyBytes: options.maxBodyBytes ?? 1_024,
       headerTimeoutMs: 1_000,
       idleTimeoutMs: 1_000,
     },
@@ -335,6 +337,7 @@
       scheduler: () => ({ kind: 'self' }),
       checkInSoon: () => {},
     },
+    memory: options.memory ?? { answerBytes: 100_000_000, bodyBytes: 100_000_000 },
     reach: { calls, peerAddresses: options.peerAddresses ?? (() => []) },
     signals: { runId: name, heedsLeaving: options.heedsLeaving ?? true },
   });
--- a/packages/settings/src/relaySettingsSchema.ts
+++ b/packages/settings/src/relaySettingsSchema.ts
@@ -86,6 +86,11 @@
         .nonnegative()
         .describe('Additional retries at a service in any period, fleet-wide.'),
     }),
+    memory: zod
+      .strictObject({
+        processMb: zod.number().int().positive().describe('Memory that the process may take.'),
+      })
+      .default({ processMb: 350 }),
     shutdown: zod.strictObject({
       graceSeconds: zod.number().positive().describe('Time between SIGTERM and SIGKILL.'),
     }),
--- a/packages/target-client/src/readWholeBody.ts
+++ b/packages/target-client/src/readWholeBody.ts
@@ -4,11 +4,12 @@
 /** Why a body could not be read completely. */
 export type BodyFailure = errors.Failure<'answer-too-large' | 'answer-broken'>;
 
-/** Reads the complete body of a peer's response; fails when it exceeds `maxBytes`. */
+/** Reads the complete body of a peer's response; fails when it exceeds `maxBytes`. `onSize` is told the bytes read so far. */
 export const readWholeBody = (
   body: ResponseBody,
   peer: string,
   maxBytes: number,
+  onSize: (sizeBytes: number) => void = () => {},
 ): Promise<errors.Result<Buffer, BodyFailure>> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -21,6 +22,7 @@
         const joined = arrived.length === 1 ? arrived[0]! : Buffer.concat(arrived);
         chunks.push(joined);
         sizeBytes += joined.length;
+        onSize(sizeBytes);
         if (sizeBytes <= maxBytes) return;
         chunks.length = 0;
         fail('answer-too-large', `the answer of ${peer} is larger than ${maxBytes} bytes`);
