Lease: tokens rise for each era that the record has missed

Change: a token is raised by one step for each era between the record, or the last era that the daemon knew, and the present one. The test failed before (1000001 after 1000001).

--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -182,6 +182,26 @@
   await stop();
 });
 
+test('gives a token above all earlier ones after the store has lost the record twice in a row', async () => {
+  const { leases, network, store, stop } = await startDaemons(['a', 'b']);
+  const empty = { objects: new Map(), version: 0 };
+  const holderAfterLoss = async () => {
+    store.comeBackFrom(empty);
+    await delay(1_000);
+    assert.ok(await waitUntil(() => leases.some((lease) => tokenOf(lease) > 0), 3_000));
+    return leases.findIndex((lease) => tokenOf(lease) > 0);
+  };
+  const first = await holderAfterLoss();
+  const lostToken = tokenOf(leases[first]!);
+  network.kill(first === 0 ? 'a' : 'b');
+  await leases[first]!.component.stop?.();
+  store.comeBackFrom(empty);
+  const other = leases[1 - first]!;
+  assert.ok(await waitUntil(() => tokenOf(other) > 0, 5_000));
+  assert.ok(tokenOf(other) > lostToken, `${tokenOf(other)} after ${lostToken}`);
+  await stop();
+});
+
 // Guards against orders on entries that targets have not written again since the store came back.
 test('does not act at once when the record of the lease is of an earlier era', async () => {
   const { leases, network, store, start, stop } = await startDaemons(['a']);
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -155,8 +155,8 @@
   let token: number | undefined;
   let era: objectStore.Era;
   let tokenOffset = 0;
-  /** Whether the record may be of an earlier era, so that targets may know of later holders than it names. */
-  let isRecordOutdated = false;
+  /** Eras that have passed since the record was written; targets may know of holders from then on that it doesn't name. */
+  let passedEras = 0;
   /** Whether a target has refused the token of this daemon since it last read the record. */
   let wasOutdated = false;
   let confirmedAt: clocks.Timestamp | undefined;
@@ -255,24 +255,24 @@
     token = put.value + tokenOffset;
     holder = { runId, address };
     // The entries of targets may be as old as the record.
-    const ownWaitMs = Math.max(waitsMs, isRecordOutdated ? fleet.registrationGraceMs : 0);
+    const ownWaitMs = Math.max(waitsMs, passedEras > 0 ? fleet.registrationGraceMs : 0);
     actsFromMs = clock.monotonicMs() + ownWaitMs;
-    isRecordOutdated = false;
+    passedEras = 0;
     log.info({ step: 'lease', token, waitsMs: ownWaitMs, era }, 'acquired the lease');
   };
 
   /** Raises the next token above those of holders that the record no longer names. */
-  const raiseTokens = (reason: string) => {
-    tokenOffset += lostVersions;
+  const raiseTokens = (lossCount: number, reason: string) => {
+    tokenOffset += lossCount * lostVersions;
     log.warn({ step: 'lease', tokenOffset, era }, `raised the tokens: ${reason}`);
   };
 
-  /** Learns the era of the store, and whether the record is of an earlier one. */
+  /** Learns the era of the store, and how many have passed since the one of the record or the last one known. */
   const enterEra = (next: objectStore.Era, recordEra: objectStore.Era) => {
-    const before = era;
+    const from = recordEra ?? era;
     era = next ?? era;
-    if (recordEra !== undefined) isRecordOutdated = recordEra !== era;
-    else if (before !== undefined && before !== era) isRecordOutdated = true;
+    const eraCount = from === undefined || era === undefined ? 0 : Math.abs(era - from);
+    passedEras = recordEra === undefined ? passedEras + eraCount : eraCount;
   };
 
   const readLease = async (): Promise<boolean> => {
@@ -282,8 +282,8 @@
       version = undefined;
       holder = undefined;
       enterEra(got.error.era, undefined);
-      if (!options.isFirstStart) isRecordOutdated = true;
-      if (wasOutdated) raiseTokens('the record is lost');
+      if (!options.isFirstStart) passedEras = Math.max(1, passedEras);
+      if (wasOutdated) raiseTokens(1, 'the record is lost');
       wasOutdated = false;
       return true;
     }
@@ -299,7 +299,7 @@
     enterEra(got.value.era, recordEra);
     tokenOffset = Math.max(tokenOffset, checked.data?.tokenOffset ?? 0);
     const isOwn = holderRunId === '' || holderRunId === runId;
-    if (wasOutdated && isOwn) raiseTokens('no other holder is recorded');
+    if (wasOutdated && isOwn) raiseTokens(1, 'no other holder is recorded');
     wasOutdated = false;
     holder = holderRunId === '' ? undefined : { runId: holderRunId, address: holderAddress };
     return true;
@@ -331,7 +331,7 @@
       return;
     }
     const isOwnEarlierRun = holder?.address === address;
-    if (isRecordOutdated) raiseTokens('the store has come back from an older copy');
+    if (passedEras > 0) raiseTokens(passedEras, 'the store has come back from an older copy');
     const mayActAtOnce = holder === undefined || hasHolderStopped || isOwnEarlierRun;
     await writeLease(runId, mayActAtOnce ? 0 : leaseValidityMs);
   };
