Relay: a stream that was given up forwards nothing more of what has arrived

Bytes that had arrived in the same tick were still delivered to a run whose unfinished event had been given up in favour of other answers. Read in the diff, not seen; no test shows it.

--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -70,7 +70,9 @@
     const resume = () => answer.body.resume();
 
     let holding: Holding | undefined;
+    let isSettled = false;
     const settle = (fault: string | undefined) => {
+      isSettled = true;
       response.off('drain', resume);
       holding?.release();
       resolve(fault);
@@ -143,7 +145,7 @@
     response.on('drain', resume);
     answer.body.read({
       onChunks: (chunks) => {
-        if (control.signal.aborted) return;
+        if (isSettled || control.signal.aborted) return;
         targetTracker.onProgress(candidate.key, clock.monotonicMs());
         const fault = forwardEvents(splitter.feed(Buffer.concat(chunks)));
         if (fault === undefined) return;
