Cut no stream that was sent after the notice of a planned stop

What callers saw: streams sent 3.7 s after SIGTERM or later were taken, took longer than those before them, and were cut when the time to drain was over, with a part of their events.

Cause: after the notice period a request that may be repeated was taken when others of its route usually ended in time. That estimate is of requests that have ended, so it tells nothing of targets that slow down just then: work was accepted in a bounded time on an expectation.

Fix: a request that came after the notice period is taken only if its time limit ends before the daemon has to stop, whatever its kind. All others get 503 `shutting-down` at once, not run, and are served by another daemon. In the notice period the estimate stays, as callers have had no time to notice the stop.

Two checks changed. `canEndBeforeStop` required that a repeatable request is taken after the notice where others usually end in time, which is the fault; it requires now that none is. `gracefulShutdown`, "answers a request that comes some time after its connection was accepted", sends after the notice with a time limit of 3 s, which ends after the stop; its route has one of 0.3 s now, and it still requires 200. The test of a request that may run only once runs for all three kinds now.

--- a/packages/relay/src/canEndBeforeStop.test.ts
+++ b/packages/relay/src/canEndBeforeStop.test.ts
@@ -46,10 +46,10 @@
   assert.equal(takenKinds(false, 4_600, 4_700), []);
 });
 
-test('are taken after it where they usually end in time, and may be repeated if they do not', () => {
-  assert.equal(takenKinds(true, 2_000, 1_000), ['idempotent', 'stream']);
-  assert.equal(takenKinds(true, 900, 1_000), []);
-  assert.equal(takenKinds(true, 2_000, undefined), ['idempotent']);
+test('are not taken after it where they usually end in time but their time limit ends later', () => {
+  assert.equal(takenKinds(true, 2_000, 1_000), []);
+  assert.equal(takenKinds(true, 2_000, undefined), []);
+  assert.equal(takenKinds(true, timeLimitMs - 1, 10), []);
 });
 
 test('are taken whatever they are where their time limit ends before', () => {
--- a/packages/relay/src/canEndBeforeStop.ts
+++ b/packages/relay/src/canEndBeforeStop.ts
@@ -1,17 +1,12 @@
 import type * as fleet from '@comfreydrum/fleet';
 import type * as lifecycle from '@comfreydrum/lifecycle';
 import type { DurationEstimates } from './createDurationEstimates';
-import { isRepeatable } from './isRepeatable';
 
 interface StopDependencies {
   readonly drain: Pick<lifecycle.DrainPeriod, 'remainingMs' | 'wasNoticeOver'>;
   readonly durations: Pick<DurationEstimates, 'upperMs'>;
 }
 
-/** A stream goes on for long after its first event, to which the latency target refers. */
-const unknownMsOf = ({ kind, latencyTargetMs }: fleet.Route): number =>
-  kind === 'stream' ? Infinity : latencyTargetMs;
-
 /** A request that has not started. */
 interface StopRequest {
   readonly route: fleet.Route;
@@ -21,15 +16,15 @@
 }
 
 /**
- * Returns whether a request is expected to end before the daemon has to stop. One that came after the notice period, in
- * which callers find other daemons, and may run only once must be certain to.
+ * Returns whether a request may start although the daemon has to stop. In the notice period, in which callers find other
+ * daemons, it is expected to end in time if others of its route do. One that came later must be certain to.
  */
 export const canEndBeforeStop = (
   { drain, durations }: StopDependencies,
   { route, arrivedAtMs, timeLimitMs }: StopRequest,
 ): boolean => {
-  const isNoticeOver = drain.wasNoticeOver(arrivedAtMs);
-  const expectedMs = durations.upperMs(route.name) ?? (isNoticeOver ? unknownMsOf(route) : 0);
-  const neededMs = isNoticeOver && !isRepeatable(route) ? timeLimitMs : expectedMs;
-  return Math.min(neededMs, timeLimitMs) <= drain.remainingMs();
+  const neededMs = drain.wasNoticeOver(arrivedAtMs)
+    ? timeLimitMs
+    : Math.min(durations.upperMs(route.name) ?? 0, timeLimitMs);
+  return neededMs <= drain.remainingMs();
 };
--- a/packages/relay/src/gracefulShutdown.test.ts
+++ b/packages/relay/src/gracefulShutdown.test.ts
@@ -26,7 +26,8 @@
       .end('served');
   };
   const targets = [{ id: 't1', listener }];
-  const route = { kind: 'idempotent', maxTargets: 1 } as const;
+  // The request is certain to end in the time to drain.
+  const route = { kind: 'idempotent', maxTargets: 1, timeoutMs: 300 } as const;
   await withRelay({ targets, route }, async ({ url, relay }) => {
     const { hostname, port } = new URL(url);
     const socket = net.connect(Number(port), hostname);
@@ -101,26 +102,28 @@
   });
 });
 
-test('takes no request that may run only once and may not end in time', async () => {
-  let runCount = 0;
-  const listener: http.RequestListener = (request, response) => {
-    runCount += 1;
-    response.writeHead(200, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's' }).end();
-  };
-  const route = { kind: 'non-idempotent', maxTargets: 1, timeoutMs: 3_000 } as const;
-  await withRelay({ targets: [{ id: 't1', listener }], route }, async ({ url, relay }) => {
-    const socket = await connect(url);
-    const stopped = relay.component.stop?.();
-    await delay(200);
-    socket.write(requestLines('r1'));
-    const head = await readHead(socket);
-    assert.match(head, 'HTTP/1.1 503');
-    assert.match(head.toLowerCase(), 'retry-after: 0.05');
-    assert.match(head.toLowerCase(), 'connection: close');
-    assert.is(runCount, 0);
-    await stopped;
-  });
-});
+routes.forEach(({ kind, maxTargets }) =>
+  test(`takes no request of kind ${kind} after the notice that may not end in time`, async () => {
+    let runCount = 0;
+    const listener: http.RequestListener = (request, response) => {
+      runCount += 1;
+      response.writeHead(200, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's' }).end();
+    };
+    const route = { kind, maxTargets, timeoutMs: 3_000 };
+    await withRelay({ targets: [{ id: 't1', listener }], route }, async ({ url, relay }) => {
+      const socket = await connect(url);
+      const stopped = relay.component.stop?.();
+      await delay(200);
+      socket.write(requestLines('r1'));
+      const head = await readHead(socket);
+      assert.match(head, 'HTTP/1.1 503');
+      assert.match(head.toLowerCase(), 'retry-after: 0.05');
+      assert.match(head.toLowerCase(), 'connection: close');
+      assert.is(runCount, 0);
+      await stopped;
+    });
+  }),
+);
 
 test('stops in time though other parts of the daemon have taken a part of the grace period to stop', async () => {
   const route = { kind: 'idempotent', maxTargets: 1 } as const;
