Stop the component that is just starting, and start no other one after a stop

What was seen: nothing yet in the operators' records; found by reading. A stop during the start of a process stopped only the components whose start had ended. The start went on meanwhile, so that components started that nothing stopped, and the process exited. A listener that had begun to accept would have lost the requests that it had read.

Cause: `stop` took the list of started components when it was called, and `start` didn't look for a stop.

Fix: `stop` waits for the component that is starting and stops it first; `start` starts none after a stop, and resolves when the stop has ended. The daemons don't report "started" then.

Not shown with a real daemon: its starts are listens of a few milliseconds.

--- a/apps/comfreydrumd/src/relay/runRelayDaemon.ts
+++ b/apps/comfreydrumd/src/relay/runRelayDaemon.ts
@@ -107,5 +107,6 @@
   });
 
   await daemonLifecycle.start();
+  if (isStopping) return;
   log.info({ step: 'start', pid: process.pid, uptimeMs: Math.round(performance.now()) }, 'started');
 };
--- a/apps/comfreydrumd/src/runDaemon.ts
+++ b/apps/comfreydrumd/src/runDaemon.ts
@@ -40,6 +40,7 @@
   process.on('SIGINT', onSignal);
 
   await daemonLifecycle.start();
+  if (isStopping) return;
   timeline.record('daemon started');
   log.info({ step: 'start', gateway: daemonSettings.gateway.listen }, 'started');
 };
--- a/packages/lifecycle/src/createLifecycle.ts
+++ b/packages/lifecycle/src/createLifecycle.ts
@@ -11,10 +11,13 @@
   readonly register: (component: Component) => void;
   /**
    * Starts the components in the order of registration. If one fails to start, stops those already
-   * started and rejects.
+   * started and rejects. Starts no further one once the lifecycle is stopped, and resolves when it has.
    */
   readonly start: () => Promise<void>;
-  /** Stops the started components in reverse order. Further calls wait for the first one. */
+  /**
+   * Stops the started components in reverse order, first the one that is just starting, as soon as it has. Further calls
+   * wait for the first one.
+   */
   readonly stop: () => Promise<void>;
 }
 
@@ -25,9 +28,17 @@
   const components: Component[] = [];
   const started: Component[] = [];
   let starting = false;
+  let currentStart: Promise<void> = Promise.resolve();
   let stopping: Promise<void> | undefined;
 
+  const startComponent = async (component: Component) => {
+    await component.start?.();
+    started.push(component);
+  };
+
   const stopAll = async () => {
+    // A failure to start is reported by `start`.
+    await currentStart.catch(() => {});
     for (const component of started.splice(0).reverse()) {
       try {
         await component.stop?.();
@@ -51,14 +62,16 @@
     start: async () => {
       starting = true;
       for (const component of components) {
+        if (stopping !== undefined) break;
+        currentStart = startComponent(component);
         try {
-          await component.start?.();
+          await currentStart;
         } catch (cause) {
           await stop();
           throw new Error(`part ${component.name} did not start`, { cause });
         }
-        started.push(component);
       }
+      await stopping;
     },
     stop,
   };
