Relay: a close-delimited stream that ends with its target's process is broken

Callers saw whole streams that had ended before their last event. When the process of a head ends, the system closes its connections with FIN. Between two events of a close-delimited stream that looks like the end of the stream, and the relay took it for that: the run was complete, and nothing was resumed.

The relay now asks whether the target's port still accepts connections before it takes such a run for complete. If it is refused, the run is broken as after a reset. The check is the crash monitor's, whose result holds for the same end, so there is no second connection; a run that passes is 'completed' for the monitor, which used to be 'broken'. Runs of other daemons are not checked: a daemon that stops closes its listener long before its last streams end.

A chunked response that a close-delimited run continues now ends with the last chunk, since the end of that run is checked; it was cut off, though whole, each time.

--- a/packages/relay/src/RelayDependencies.ts
+++ b/packages/relay/src/RelayDependencies.ts
@@ -6,6 +6,7 @@
 import type * as telemetry from '@comfreydrum/telemetry';
 import type { CallerWire } from './CallerRequest';
 import type { CrashMonitor, EndedMember } from './crashes/createCrashMonitor';
+import type { ProcessCheck } from './crashes/createProcessCheck';
 import type { DemandCounter } from './demand/createDemandCounter';
 import type { DurationEstimates } from './createDurationEstimates';
 import type { RelayMetrics } from './createRelayMetrics';
@@ -66,6 +67,7 @@
   readonly failureReporter: FailureReporter;
   readonly hasher: routing.PrefixHasher;
   readonly crashMonitor: CrashMonitor;
+  readonly processCheck: ProcessCheck;
   readonly targetLimits: TargetLimits;
   readonly targetReach: TargetReach;
   readonly demandCounter: DemandCounter;
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -142,6 +142,36 @@
         : undefined;
     };
 
+    /** Describes why a run that has ended is not complete, if so. */
+    const findEndFault = async (cause: Error | undefined, comments: Buffer | undefined) => {
+      if (cause !== undefined) return errors.describeCause(cause);
+      if (comments === undefined) return 'the answer ended in the middle of an event';
+      const fault = resumeCheck?.checkComments(comments);
+      if (fault !== undefined) return fault;
+      if (!isCloseDelimited(answer, context.request.method)) return undefined;
+      // The listener of a daemon closes long before its last streams end.
+      if (!candidate.isDaemon && (await dependencies.processCheck.hasEnded(candidate)))
+        return 'the process ended, perhaps before the last event';
+      if (control.signal.aborted) return 'another run has delivered first';
+      if (context.callerDisconnected.aborted) return 'the caller has disconnected';
+      return isFirstOfRun && !control.isOnlyRun()
+        ? 'the answer ended without an event, perhaps broken off'
+        : undefined;
+    };
+
+    const endRun = async (cause: Error | undefined) => {
+      if (isSettled) return;
+      const comments = splitter.trailingComments();
+      const fault = await findEndFault(cause, comments);
+      if (isSettled) return;
+      if (fault === undefined) {
+        control.stopOtherRuns();
+        writeHead();
+        if (comments !== undefined && comments.length > 0) response.write(comments);
+      }
+      settle(fault);
+    };
+
     response.on('drain', resume);
     answer.body.read({
       onChunks: (chunks) => {
@@ -153,23 +183,7 @@
         answer.body.discard();
       },
       onEnd: (cause) => {
-        const comments = splitter.trailingComments();
-        const fault = comments && resumeCheck?.checkComments(comments);
-        if (cause !== undefined) settle(errors.describeCause(cause));
-        else if (comments === undefined) settle('the answer ended in the middle of an event');
-        else if (fault !== undefined) settle(fault);
-        else if (
-          isFirstOfRun &&
-          isCloseDelimited(answer, context.request.method) &&
-          !control.isOnlyRun()
-        )
-          settle('the answer ended without an event, perhaps broken off');
-        else {
-          control.stopOtherRuns();
-          writeHead();
-          if (comments.length > 0) response.write(comments);
-          settle(undefined);
-        }
+        endRun(cause).catch((error: unknown) => settle(errors.describeCause(error)));
       },
     });
   });
--- a/packages/relay/src/createRelay.ts
+++ b/packages/relay/src/createRelay.ts
@@ -159,10 +159,11 @@
       ),
   );
   const crashExchange = createCrashExchange({ ...options.crashes, clock });
+  const processCheck = createProcessCheck({ clock, localAddress: options.localAddress });
   const crashMonitor = createCrashMonitor({
     clock,
     log,
-    processCheck: createProcessCheck({ clock, localAddress: options.localAddress }),
+    processCheck,
     crashedRuns: metrics.crashedRuns,
     publish: crashExchange.publish,
   });
@@ -286,6 +287,7 @@
     failureReporter: options.failureReporter,
     hasher: options.hasher,
     crashMonitor,
+    processCheck,
     targetLimits,
     targetReach,
     demandCounter,
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -34,10 +34,10 @@
 const noGroupRetryAfterMs = 1_200;
 const fullRetryAfterMs = 1_200;
 
-const endOfStream = (result: StreamResult): RunEnd => {
+const endOfStream = (result: StreamResult, { isDaemon }: Candidate): RunEnd => {
   if (result.kind === 'failed') return endOfFailure(result.failure);
-  // The end of a close-delimited stream may also be the end of the process.
-  return result.isCloseDelimited ? 'broken' : 'completed';
+  // The end of a close-delimited stream may also be the end of the process, which is checked for targets only.
+  return result.isCloseDelimited && isDaemon ? 'broken' : 'completed';
 };
 
 /** A run that has failed, and whether its target is known to have ended by now. */
@@ -51,7 +51,6 @@
 interface CompleteRun {
   readonly candidate: Candidate;
   readonly statusCode: number;
-  readonly isCloseDelimited: boolean;
 }
 
 /** Serves a request with a streaming response; resumes the stream at another head when a run fails or is silent. */
@@ -192,7 +191,7 @@
       onWrite: () => crashMonitor.onDispatch(monitored),
       onSilent: (silence) => handleSilence(candidate, control, sentAtMs, silence),
     });
-    const checked = crashMonitor.onEnd(monitored, endOfStream(result));
+    const checked = crashMonitor.onEnd(monitored, endOfStream(result, candidate));
     if (result.kind === 'complete') {
       return { kind: 'succeeded', success: { ...result, candidate } } as const;
     }
@@ -211,12 +210,8 @@
   });
   if (supervised.kind === 'caller-gone') return { kind: 'caller-gone' };
   if (supervised.kind === 'denied') return refuse(supervised.denial);
-  const { candidate, statusCode, isCloseDelimited } = supervised.success;
-  const isFramed = response.headersSent && response.useChunkedEncodingByDefault;
-  // The response to the caller is chunked, but the end of a close-delimited run doesn't prove that the stream is
-  // complete, so the connection is closed without the last chunk.
-  if (isFramed && isCloseDelimited) response.socket?.destroySoon();
-  else response.end();
+  const { candidate, statusCode } = supervised.success;
+  response.end();
   const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
   return {
     kind: 'answered',
