Relay: streams go to HTTP/1.1 callers in chunks, whatever the framing of the target

Callers of a daemon that was killed saw whole streams that had ended before their last event. A stream without a length or chunks was forwarded in the same framing, in which the close of the connection is the end of the stream. When a process is killed, the system closes its connections with FIN, so all such streams of it looked complete.

Now the daemon sends chunks and adds the last one only when the run has ended as complete, so no end of the process can stand for it. Whole answers of exchanges keep the framing of their target: there a target that still lives may break off, and nothing but the framing says that this is not known. HTTP/1.0 has no chunks; such a caller still gets a stream that ends with the connection, and a reset when it is cut off by the daemon. A daemon that is killed can't say anything to it.

--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -7,7 +7,6 @@
 import { isCloseDelimited } from './isCloseDelimited';
 import { assessStall } from './assessStall';
 import type { Holding } from './memory/createByteBudget';
-import { makeCloseDelimited } from './makeCloseDelimited';
 import type { PlacedRun } from './placing/createPlacing';
 import type { StreamProgress } from './createStreamProgress';
 import type { RelayDependencies } from './RelayDependencies';
@@ -99,7 +98,6 @@
     /** Writes the response head of the first run, also when that run has no events left to send. */
     const writeHead = () => {
       if (response.headersSent) return;
-      if (isCloseDelimited(answer, context.request.method)) makeCloseDelimited(response);
       const headers = forwardedHeadersOf(answer.headers);
       response.writeHead(answer.statusCode, headers);
       progress.onHead(headers['content-type']?.toString());
