Answer requests that wait for the plan or their body at the end of a planned stop

What callers saw: a request that still waited for a confirmation of the plan, or whose body was still arriving, when the time to drain was over got no answer; its connection was closed. It had not run.

Cause: only the runs of a request watched the signal of the end. What comes before them, the admission, the body and the confirmation of a smaller body limit, did not, so `closeAllConnections` came first.

Fix: these waits end with the same signal, and the request gets 503 `shutting-down`, not run. A refusal while the daemon stops says `connection: close` also where the request came before the stop.

Evidence: four new tests of `gracefulShutdown`, one for each wait (a body of a known length and one in chunks).

--- a/packages/relay/src/gracefulShutdown.test.ts
+++ b/packages/relay/src/gracefulShutdown.test.ts
@@ -4,13 +4,14 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
-import { testKey, testModel } from './testing/createTestRelay';
+import { testKey, testModel, type TestRelayOptions } from './testing/createTestRelay';
 import { withRelay } from './testing/withRelay';
 
 const test = uvu.suite('graceful shutdown');
 
 /** Time from the beginning of a planned stop in which the relay of a test closes its connections. */
 const graceMs = 1_300;
+const pieceIntervalMs = 100;
 
 const routes = [
   { kind: 'idempotent', maxTargets: 1 },
@@ -125,6 +126,57 @@
   }),
 );
 
+/** Returns the start of the response to a request that is sent just before the stop and still waits at its end. */
+const readHeadAtEnd = async (
+  options: Pick<TestRelayOptions, 'planAgeMs' | 'planRead'>,
+  lines: string,
+  sendMore: (socket: net.Socket) => void = () => {},
+): Promise<string> => {
+  let head = '';
+  const targets = [{ id: 't1', listener: () => assert.unreachable('the request ran') }];
+  const route = { kind: 'idempotent', maxTargets: 1 } as const;
+  await withRelay({ targets, route, ...options }, async ({ url, relay }) => {
+    const socket = await connect(url);
+    socket.on('error', () => {});
+    const answered = readHead(socket);
+    socket.write(lines);
+    const timer = setInterval(() => sendMore(socket), pieceIntervalMs);
+    await delay(100);
+    await relay.component.stop?.();
+    head = await answered;
+    clearInterval(timer);
+  });
+  return head;
+};
+
+const postLines = `POST /drafts/1 HTTP/1.1\r\nhost: x\r\nx-id: r1\r\nx-key: ${testKey}\r\n`;
+const neverRead = new Promise<void>(() => {});
+
+const waitingRequests = {
+  'that waits for a confirmation of the plan': () =>
+    readHeadAtEnd({ planAgeMs: () => 5_000, planRead: neverRead }, requestLines('r1')),
+  'whose body is too large and waits for a confirmation of the limit': () =>
+    readHeadAtEnd(
+      { planAgeMs: () => 3_000, planRead: neverRead },
+      `${postLines}content-length: 2048\r\n\r\n`,
+    ),
+  'whose body of a known length is still arriving': () =>
+    readHeadAtEnd({}, `${postLines}content-length: 1000\r\n\r\n`, (socket) => socket.write('.')),
+  'whose body is still arriving in chunks': () =>
+    readHeadAtEnd({}, `${postLines}transfer-encoding: chunked\r\n\r\n`, (socket) =>
+      socket.write('1\r\n.\r\n'),
+    ),
+};
+
+Object.entries(waitingRequests).forEach(([description, readWaiting]) =>
+  test(`answers a request ${description} at the end of the stop as not run`, async () => {
+    const head = await readWaiting();
+    assert.match(head, 'HTTP/1.1 503');
+    assert.match(head, '"cause":"shutting-down","ran":"not-run"');
+    assert.match(head.toLowerCase(), 'connection: close');
+  }),
+);
+
 test('stops in time though other parts of the daemon have taken a part of the grace period to stop', async () => {
   const route = { kind: 'idempotent', maxTargets: 1 } as const;
   await withRelay(
--- a/packages/relay/src/readBody.ts
+++ b/packages/relay/src/readBody.ts
@@ -1,7 +1,7 @@
 import type * as http from 'node:http';
 import type * as fleet from '@comfreydrum/fleet';
 import type { ByteBudget, Holding } from './memory/createByteBudget';
-import { createNotRunRefusal, type Refusal } from './Refusal';
+import { createNotRunRefusal, createShutdownRefusal, type Refusal } from './Refusal';
 
 /** A caller's request body, or why it could not be read. */
 export type BodyResult =
@@ -42,12 +42,13 @@
 
 /**
  * Reads a request body up to the size limit; refuses it when no data arrives for the idle timeout, or when the bodies in
- * memory leave no room for it. The reader of a body releases its holding.
+ * memory leave no room for it or `mustEnd` aborts. The reader of a body releases its holding.
  */
 export const readBody = (
   message: http.IncomingMessage,
   { maxBodyBytes, idleTimeoutMs }: fleet.CallerLimits,
   { budget, retryAfterMs }: BodyMemory,
+  mustEnd: AbortSignal,
 ): Promise<BodyResult> => {
   const declaredBytes = Number(message.headers['content-length'] ?? 0);
   if (declaredBytes > maxBodyBytes) return Promise.resolve(tooLarge(maxBodyBytes));
@@ -58,11 +59,13 @@
     let isDone = false;
     let holding: Holding;
     let timer: NodeJS.Timeout;
+    let stop = () => {};
     const finish = (result: BodyResult) => {
       if (isDone) return;
       isDone = true;
       chunks = [];
       clearTimeout(timer);
+      mustEnd.removeEventListener('abort', stop);
       if (result.kind !== 'body') holding.release();
       resolve(result);
     };
@@ -87,5 +90,8 @@
     });
     message.once('close', () => finish({ kind: 'caller-gone' }));
     message.once('error', () => finish({ kind: 'caller-gone' }));
+    stop = () => finish({ kind: 'refused', refusal: createShutdownRefusal() });
+    mustEnd.addEventListener('abort', stop, { once: true });
+    if (mustEnd.aborted) stop();
   });
 };
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -8,7 +8,7 @@
 import { readBody } from './readBody';
 import { releaseWithResponse } from './memory/releaseWithResponse';
 import { refuseLargeBody } from './refuseLargeBody';
-import { createNotRunRefusal, type Refusal } from './Refusal';
+import { createNotRunRefusal, createShutdownRefusal, type Refusal } from './Refusal';
 import type { RelayDependencies } from './RelayDependencies';
 import type { RequestContext } from './RequestContext';
 import { serveExchange } from './serveExchange';
@@ -16,6 +16,7 @@
 import { serveStream } from './serveStream';
 import { targetPriorityOf } from './placing/targetPriorityOf';
 import { sharedPartIdsOf } from './sharedPartIdsOf';
+import { untilAborted } from './untilAborted';
 import { watchCaller } from './watchCaller';
 import { writeRefusal } from './writeRefusal';
 
@@ -46,16 +47,19 @@
 ): Promise<FingerprintedResult> => {
   const arrivedAtMs = dependencies.clock.monotonicMs();
   const callerDisconnected = watchCaller(message, response);
-  const admission = await admitRequest(dependencies, request);
+  const admission = await untilAborted(admitRequest(dependencies, request), mustEnd);
+  if (admission === undefined) return refused(createShutdownRefusal());
   if (admission.kind === 'refused') return admission;
   const { plan, route, customer } = admission;
   const customerName = customer?.name;
-  const body = await readBody(message, plan.limits, {
+  const memory = {
     budget: dependencies.bodyBudget,
     retryAfterMs: dependencies.durations.meanMs(route.name) ?? fullMemoryRetryAfterMs,
-  });
+  };
+  const body = await readBody(message, plan.limits, memory, mustEnd);
   if (body.kind === 'refused' && body.refusal.cause === 'body-too-large') {
-    return refused(await refuseLargeBody(dependencies, plan, body.refusal));
+    const refusing = refuseLargeBody(dependencies, plan, body.refusal);
+    return refused((await untilAborted(refusing, mustEnd)) ?? createShutdownRefusal());
   }
   if (body.kind !== 'body') return body;
   releaseWithResponse(body.holding, response);
@@ -152,6 +156,8 @@
   const isCutOff = result.kind === 'refused' && response.headersSent;
   if (result.kind === 'refused') {
     if (isCutOff) dependencies.metrics.cutOffResponses.add({ cause: result.refusal.cause });
+    const isDraining = dependencies.drain.elapsedMs() !== undefined;
+    if (isDraining && !response.headersSent) response.setHeader('connection', 'close');
     writeRefusal(response, result.refusal, callerWire.responseHeaders(request, result.refusal.ran));
   }
   const plan = dependencies.plan.current();
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -25,6 +25,8 @@
   readonly planRevision?: number;
   /** The plan in the store, which the relay reads when it needs a confirmation; by default the one it has. */
   readonly storedPlan?: Pick<TestRelayOptions, 'planRevision' | 'route'>;
+  /** Ends once the store responds to a read of the plan; by default at once. */
+  readonly planRead?: Promise<void>;
   /** Whether a probe finds a member of a silent group lost. */
   readonly confirmLoss?: () => boolean;
   readonly slots?: number;
@@ -286,6 +288,7 @@
         announcedRevision = revision;
       },
       confirmPlan: async (maxAgeMs) => {
+        await options.planRead;
         if (announcedRevision > plan.revision && options.storedPlan !== undefined) {
           plan = createPlan({ ...options, ...options.storedPlan });
         }
