Relay: the log line of a stream tells how its end was known

Of streams that ended as complete too early, the line `request ended` told nothing of how their end was known: by the framing of the target's answer, or only by the close of its connection, which a target that ends causes too. `endedBy` of an answered stream is `framing` or `close`.

--- a/packages/relay/src/ServeResult.ts
+++ b/packages/relay/src/ServeResult.ts
@@ -8,6 +8,8 @@
   readonly events: number;
   readonly firstEventMs: number;
   readonly maxGapMs: number;
+  /** How the end of the stream was known: by the framing of the target's answer, or only by the close of its connection. */
+  readonly endedBy: 'framing' | 'close';
 }
 
 /** The result of serving a request; a refusal has not been written to the caller yet. */
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -51,6 +51,7 @@
 interface CompleteRun {
   readonly candidate: Candidate;
   readonly statusCode: number;
+  readonly isCloseDelimited: boolean;
 }
 
 /** Serves a request with a streaming response; resumes the stream at another head when a run fails or is silent. */
@@ -210,7 +211,7 @@
   });
   if (supervised.kind === 'caller-gone') return { kind: 'caller-gone' };
   if (supervised.kind === 'denied') return refuse(supervised.denial);
-  const { candidate, statusCode } = supervised.success;
+  const { candidate, statusCode, isCloseDelimited } = supervised.success;
   response.end();
   const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
   return {
@@ -222,6 +223,7 @@
       events: eventCount,
       firstEventMs: Math.round((firstEventAtMs ?? clock.monotonicMs()) - context.arrivedAtMs),
       maxGapMs: Math.round(maxGapMs),
+      endedBy: isCloseDelimited ? 'close' : 'framing',
     },
   };
 };
