Take requests during a planned stop by when they had arrived as a whole

What callers saw: a request whose head came in the notice period of a planned stop and whose body ended after it was taken if others of its route usually end in time, however late that was, and cut at the end of the stop if it took longer. Found by reading, beside the fault of streams that are cut late.

Cause: whether a request came after the notice was decided by the time of its head.

Fix: the time counts at which the request had arrived with its body. One that comes later than the notice is taken only if its time limit ends before the daemon has to stop.

Evidence: a new test of `gracefulShutdown` (head before the stop, body 0.2 s after it, notice of 20 ms, time limit of 3 s). Before: red in 2 of 2 runs, as the request ran. After: 14 of 14 tests of the file green in 2 of 2 runs; `plannedStop` 3 of 3.

--- a/packages/relay/src/RequestContext.ts
+++ b/packages/relay/src/RequestContext.ts
@@ -21,6 +21,8 @@
   readonly sharedPartIds: readonly string[];
   readonly response: http.ServerResponse;
   readonly arrivedAtMs: number;
+  /** When the request had arrived with its whole body. */
+  readonly receivedAtMs: number;
   /** Deadline on the monotonic clock. */
   readonly deadlineAtMs: number;
   readonly callerDisconnected: AbortSignal;
--- a/packages/relay/src/canEndBeforeStop.test.ts
+++ b/packages/relay/src/canEndBeforeStop.test.ts
@@ -29,7 +29,7 @@
   }
   return Object.entries(routes)
     .filter(([, route]) =>
-      canEndBeforeStop({ drain, durations }, { route, arrivedAtMs: 0, timeLimitMs }),
+      canEndBeforeStop({ drain, durations }, { route, receivedAtMs: 0, timeLimitMs }),
     )
     .map(([name]) => name);
 };
--- a/packages/relay/src/canEndBeforeStop.ts
+++ b/packages/relay/src/canEndBeforeStop.ts
@@ -10,7 +10,8 @@
 /** A request that has not started. */
 interface StopRequest {
   readonly route: fleet.Route;
-  readonly arrivedAtMs: number;
+  /** When it had arrived with its whole body. */
+  readonly receivedAtMs: number;
   /** Time until the deadline of the request. */
   readonly timeLimitMs: number;
 }
@@ -21,9 +22,9 @@
  */
 export const canEndBeforeStop = (
   { drain, durations }: StopDependencies,
-  { route, arrivedAtMs, timeLimitMs }: StopRequest,
+  { route, receivedAtMs, timeLimitMs }: StopRequest,
 ): boolean => {
-  const neededMs = drain.wasNoticeOver(arrivedAtMs)
+  const neededMs = drain.wasNoticeOver(receivedAtMs)
     ? timeLimitMs
     : Math.min(durations.upperMs(route.name) ?? 0, timeLimitMs);
   return neededMs <= drain.remainingMs();
--- a/packages/relay/src/gracefulShutdown.test.ts
+++ b/packages/relay/src/gracefulShutdown.test.ts
@@ -126,6 +126,31 @@
   }),
 );
 
+const postLines = `POST /drafts/1 HTTP/1.1\r\nhost: x\r\nx-id: r1\r\nx-key: ${testKey}\r\n`;
+
+test('takes no request whose body ends after the notice and which may not end in time', async () => {
+  let runCount = 0;
+  const listener: http.RequestListener = (request, response) => {
+    runCount += 1;
+    response.writeHead(200, { 'x-id': String(request.headers['x-id']), 'x-stamp': 's' }).end();
+  };
+  const route = { kind: 'idempotent', maxTargets: 1, timeoutMs: 3_000 } as const;
+  await withRelay({ targets: [{ id: 't1', listener }], route }, async ({ url, relay }) => {
+    const socket = await connect(url);
+    const answered = readHead(socket);
+    socket.write(`${postLines}content-length: 2\r\n\r\n`);
+    await delay(50);
+    const stopped = relay.component.stop?.();
+    await delay(200);
+    socket.write('{}');
+    const head = await answered;
+    assert.match(head, 'HTTP/1.1 503');
+    assert.match(head, '"cause":"shutting-down","ran":"not-run"');
+    assert.is(runCount, 0);
+    await stopped;
+  });
+});
+
 /** Returns the start of the response to a request that is sent just before the stop and still waits at its end. */
 const readHeadAtEnd = async (
   options: Pick<TestRelayOptions, 'planAgeMs' | 'planRead'>,
@@ -149,7 +174,6 @@
   return head;
 };
 
-const postLines = `POST /drafts/1 HTTP/1.1\r\nhost: x\r\nx-id: r1\r\nx-key: ${testKey}\r\n`;
 const neverRead = new Promise<void>(() => {});
 
 const waitingRequests = {
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -141,9 +141,9 @@
   const hasToStop = (nowMs: number): boolean => {
     if (context.mustEnd.aborted) return true;
     if (startedRunCount > 0) return false;
-    const { arrivedAtMs } = context;
+    const { receivedAtMs } = context;
     const timeLimitMs = deadlineAtMs - nowMs;
-    return !canEndBeforeStop(dependencies, { route, arrivedAtMs, timeLimitMs });
+    return !canEndBeforeStop(dependencies, { route, receivedAtMs, timeLimitMs });
   };
 
   /** Returns why the request may not be sent at all now. */
--- a/packages/relay/src/serveRequest.ts
+++ b/packages/relay/src/serveRequest.ts
@@ -62,6 +62,7 @@
     return refused((await untilAborted(refusing, mustEnd)) ?? createShutdownRefusal());
   }
   if (body.kind !== 'body') return body;
+  const receivedAtMs = dependencies.clock.monotonicMs();
   releaseWithResponse(body.holding, response);
   await lifecycle.pollConnections();
   if (callerDisconnected.aborted) return { kind: 'caller-gone' };
@@ -85,6 +86,7 @@
     sharedPartIds: sharedPartIdsOf(request),
     response,
     arrivedAtMs,
+    receivedAtMs,
     deadlineAtMs: arrivedAtMs + timeLimitMs,
     callerDisconnected,
     mustEnd,
