Relay: a planned stop no longer closes the connection of an answer that is still being read

Cause: Node.js takes a connection for idle once the end of its response is called, also while its bytes wait to be sent, and `closeIdleConnections` destroys it.

Fix: the end of a response is called once its body is written to the connection, so that the connection isn't idle before. Streams end in the same way; not tried with a slow reader.

--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -2,6 +2,7 @@
 import { isWarmingUp, type Candidate } from './chooseTarget';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
 import type { RunEnd } from './crashes/createCrashMonitor';
+import { endWhenSent } from './endWhenSent';
 import { isRepeatable } from './isRepeatable';
 import { makeCloseDelimited } from './makeCloseDelimited';
 import { refuseUnverifiedKey } from './refuseUnverifiedKey';
@@ -37,7 +38,8 @@
   if (answer.isCloseDelimited) makeCloseDelimited(response);
   const length = answer.isCloseDelimited ? {} : { 'content-length': body.length };
   response.writeHead(statusCode, { ...headers, ...length });
-  response.end(body);
+  response.write(body);
+  endWhenSent(response);
 };
 
 const endOfExchange = (result: ExchangeResult): RunEnd => {
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -3,6 +3,7 @@
 import type { RunEnd } from './crashes/createCrashMonitor';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
 import { createStreamProgress } from './createStreamProgress';
+import { endWhenSent } from './endWhenSent';
 import { isRepeatable } from './isRepeatable';
 import { retryAfterMsOf } from './placing/retryAfterMsOf';
 import { refuseUnverifiedKey } from './refuseUnverifiedKey';
@@ -212,7 +213,7 @@
   if (supervised.kind === 'caller-gone') return { kind: 'caller-gone' };
   if (supervised.kind === 'denied') return refuse(supervised.denial);
   const { candidate, statusCode, isCloseDelimited } = supervised.success;
-  response.end();
+  endWhenSent(response);
   const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
   return {
     kind: 'answered',
