Relay: a stream without event ids is not run again once events were forwarded

What callers would see: the events of a stream whose events have no ids, twice, when its run breaks off and another one starts from the beginning (ORDER).

Cause: the next run is asked to go on after the last event id, and there is none.

Fix: a request whose forwarded events don't all have ids can't be repeated, whatever its route; the stream is cut.

--- a/packages/relay/src/createStreamProgress.ts
+++ b/packages/relay/src/createStreamProgress.ts
@@ -2,6 +2,8 @@
 export interface StreamState {
   /** Id of the last event that the caller has. */
   readonly lastEventId: number | undefined;
+  /** Whether all events of this response had ids, so that another run can go on after the last one. */
+  readonly isResumable: boolean;
   readonly lastEventAtMs: number | undefined;
   /** Number of events forwarded in this response. */
   readonly eventCount: number;
@@ -23,6 +25,7 @@
 export const createStreamProgress = (lastEventId: number | undefined): StreamProgress => {
   let state: StreamState = {
     lastEventId,
+    isResumable: true,
     lastEventAtMs: undefined,
     eventCount: 0,
     firstEventAtMs: undefined,
@@ -41,6 +44,7 @@
       const gapMs = nowMs - (state.lastEventAtMs ?? nowMs);
       state = {
         lastEventId: id ?? state.lastEventId,
+        isResumable: state.isResumable && id !== undefined,
         lastEventAtMs: nowMs,
         eventCount: state.eventCount + 1,
         firstEventAtMs: state.firstEventAtMs ?? nowMs,
--- a/packages/relay/src/runs/createRunAllowance.ts
+++ b/packages/relay/src/runs/createRunAllowance.ts
@@ -58,8 +58,8 @@
 /** What depends on the kind of request. */
 export interface RunAllowanceOptions {
   readonly listCandidates: (nowMs: number) => readonly Candidate[];
-  /** Whether the request may run more than once. */
-  readonly isRepeatable: boolean;
+  /** Whether the request may run once more. */
+  readonly isRepeatable: () => boolean;
   /** Whether the first run needs a target with a free slot. */
   readonly needsFreeSlot: boolean;
   /** Maximum number of rejections by targets before a request is no longer retried. */
@@ -113,7 +113,7 @@
   };
 
   const findRetryDenial = (): RunDenial | undefined => {
-    if (runCount() > 0 && !options.isRepeatable) return { reason: 'not-repeatable' };
+    if (runCount() > 0 && !options.isRepeatable()) return { reason: 'not-repeatable' };
     if (runCount() >= maxTargets) return { reason: 'too-many-runs' };
     if (rejectionCount > options.maxRejections) return { reason: 'too-many-rejections' };
     return undefined;
--- a/packages/relay/src/serveExchange.ts
+++ b/packages/relay/src/serveExchange.ts
@@ -69,7 +69,7 @@
     dependencies.directory.standaloneTargets(service, nowMs);
   const allowance = createRunAllowance(dependencies, context, {
     listCandidates,
-    isRepeatable: isRepeatable(route),
+    isRepeatable: () => isRepeatable(route),
     needsFreeSlot: false,
     maxRejections,
   });
--- a/packages/relay/src/serveStream.test.ts
+++ b/packages/relay/src/serveStream.test.ts
@@ -125,6 +125,28 @@
   });
 });
 
+test('delivers no event twice when a stream without event ids breaks off', async () => {
+  const unnumbered = 'data: token\n\n';
+  const torn: http.RequestListener = (request, response) => {
+    beginStream(request, response, 's1');
+    response.write(unnumbered);
+    setTimeout(() => response.destroy(), 30);
+  };
+  const second = createRecordingTarget((request, response) => {
+    beginStream(request, response, 's2');
+    response.end(unnumbered);
+  });
+  const targets = [
+    { id: 't1', listener: torn },
+    { id: 't2', listener: second.listener },
+  ];
+  await withRelay({ targets }, async ({ url }) => {
+    const { text, isComplete } = await call(url);
+    assert.equal([text, isComplete], [unnumbered, false]);
+    assert.is(second.seen.length, 0);
+  });
+});
+
 test('aborts a stream when the target skips or repeats an event', async () => {
   for (const wrong of [eventsOf(1, 2) + eventOf(4), eventsOf(1, 2) + eventOf(2)]) {
     const faulty: http.RequestListener = (request, response) => {
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -67,7 +67,7 @@
     dependencies.directory.groupHeads(service, request.modelName, nowMs);
   const allowance = createRunAllowance(dependencies, context, {
     listCandidates,
-    isRepeatable: isRepeatable(route),
+    isRepeatable: () => isRepeatable(route) && progress.read().isResumable,
     needsFreeSlot: true,
     maxRejections,
   });
