Relay: the end of a close-delimited stream needs a target that listens, or one that leaves

And whole streams of a head that leaves were cut, or run again, where the head had closed its listener before their end (4 of 4 cases).

Cause: the check took a connection that was not answered within 100 ms for a target that is still there; on a busy processor the time-out came before the answer that had arrived. And a refused connection proves nothing of a target that leaves.

Fix: the answer that has arrived is read before the time-out counts; a target that still hasn't answered is asked once more, for longer than a lost packet takes to be sent again; only one that listens then counts as there. A target that is listed as leaving, or not any more, or has said so, isn't asked: the plain close is its end. The log tells which (`endProof`: framing, listening, none); only a proved end is a completed run for the crash monitor.

Streams of `endedTargets` are not hedged now, since a hedge on a busy machine ran on the other target; its bounds are as before.

--- a/packages/relay/src/ServeResult.ts
+++ b/packages/relay/src/ServeResult.ts
@@ -1,3 +1,4 @@
+import type { EndProof } from './attemptStream';
 import type { Refusal } from './Refusal';
 
 /** Event timing of a stream, for the log. */
@@ -8,8 +9,7 @@
   readonly events: number;
   readonly firstEventMs: number;
   readonly maxGapMs: number;
-  /** How the end of the stream was known: by the framing of the target's answer, or only by the close of its connection. */
-  readonly endedBy: 'framing' | 'close';
+  readonly endProof: EndProof;
 }
 
 /** The result of serving a request; a refusal has not been written to the caller yet. */
--- a/packages/relay/src/attemptStream.ts
+++ b/packages/relay/src/attemptStream.ts
@@ -14,13 +14,18 @@
 import type { RunControl } from './runs/superviseRuns';
 import { excuseOf, sendToTarget, type MatchedResponse, type SendFailure } from './sendToTarget';
 
+/**
+ * What shows that a run has delivered its last event. The close of a connection alone shows little, as it may also be
+ * the end of the process: `listening` is a target that still listened after it, `none` one that needn't.
+ */
+export type EndProof = 'framing' | 'listening' | 'none';
+
 /** The result of one run of a stream. */
 export type StreamResult =
   | {
       readonly kind: 'complete';
       readonly statusCode: number;
-      /** Whether only the close of the connection marks the end of the stream. */
-      readonly isCloseDelimited: boolean;
+      readonly endProof: EndProof;
     }
   | {
       readonly kind: 'failed';
@@ -51,7 +56,13 @@
 /** An event holds a few tokens; comments between events are short and rare. */
 const maxEventBytes = 65_536;
 
-/** Forwards the complete events of a response; resolves with a description of the fault that ended it, if any. */
+/** The end of a run: a description of the fault that ended it, if any, or what shows that it is complete. */
+interface RelayedRun {
+  readonly fault: string | undefined;
+  readonly endProof: EndProof;
+}
+
+/** Forwards the complete events of a response. */
 const relayEvents = (
   dependencies: RelayDependencies,
   context: RequestContext,
@@ -59,7 +70,7 @@
   { answer }: MatchedResponse,
   placedRun: PlacedRun,
   resumeCheck: ResumeCheck | undefined,
-): Promise<string | undefined> =>
+): Promise<RelayedRun> =>
   new Promise((resolve) => {
     const { targetTracker, clock, metrics } = dependencies;
     const { response } = context;
@@ -70,11 +81,11 @@
 
     let holding: Holding | undefined;
     let isSettled = false;
-    const settle = (fault: string | undefined) => {
+    const settle = (fault: string | undefined, endProof: EndProof = 'none') => {
       isSettled = true;
       response.off('drain', resume);
       holding?.release();
-      resolve(fault);
+      resolve({ fault, endProof });
     };
     /** The bytes of the event that has not come completely. */
     holding = dependencies.answerBudget.hold(() => {
@@ -140,15 +151,27 @@
         : undefined;
     };
 
+    /** Returns what has to show that the run is complete. */
+    const neededProof = (): EndProof => {
+      if (!isCloseDelimited(answer, context.request.method)) return 'framing';
+      // Daemons that stop and targets that leave close their listeners before their last streams end.
+      return candidate.isDaemon || dependencies.directory.isLeaving(candidate)
+        ? 'none'
+        : 'listening';
+    };
+
     /** Describes why a run that has ended is not complete, if so. */
-    const findEndFault = async (cause: Error | undefined, comments: Buffer | undefined) => {
+    const findEndFault = async (
+      cause: Error | undefined,
+      comments: Buffer | undefined,
+      endProof: EndProof,
+    ) => {
       if (cause !== undefined) return errors.describeCause(cause);
       if (comments === undefined) return 'the answer ended in the middle of an event';
       const fault = resumeCheck?.checkComments(comments);
       if (fault !== undefined) return fault;
-      if (!isCloseDelimited(answer, context.request.method)) return undefined;
-      // The listener of a daemon closes long before its last streams end.
-      if (!candidate.isDaemon && (await dependencies.processCheck.hasEnded(candidate)))
+      if (endProof === 'framing') return undefined;
+      if (endProof === 'listening' && !(await dependencies.processCheck.isListening(candidate)))
         return 'the process ended, perhaps before the last event';
       if (control.signal.aborted) return 'another run has delivered first';
       if (context.callerDisconnected.aborted) return 'the caller has disconnected';
@@ -160,14 +183,15 @@
     const endRun = async (cause: Error | undefined) => {
       if (isSettled) return;
       const comments = splitter.trailingComments();
-      const fault = await findEndFault(cause, comments);
+      const endProof = neededProof();
+      const fault = await findEndFault(cause, comments, endProof);
       if (isSettled) return;
       if (fault === undefined) {
         control.stopOtherRuns();
         writeHead();
         if (comments !== undefined && comments.length > 0) response.write(comments);
       }
-      settle(fault);
+      settle(fault, endProof);
     };
 
     response.on('drain', resume);
@@ -302,7 +326,7 @@
       answer.body.discard();
       return fail({ ran: 'unknown', message: headFault, wasRejected: false, wasAnswered: true });
     }
-    const fault = await relayEvents(
+    const { fault, endProof } = await relayEvents(
       dependencies,
       context,
       attempt,
@@ -320,7 +344,7 @@
     return {
       kind: 'complete',
       statusCode: answer.statusCode,
-      isCloseDelimited: isCloseDelimited(answer, context.request.method),
+      endProof,
     };
   } finally {
     deadline.release();
--- a/packages/relay/src/crashes/createCrashMonitor.ts
+++ b/packages/relay/src/crashes/createCrashMonitor.ts
@@ -80,7 +80,7 @@
 export interface CrashMonitorOptions {
   readonly clock: clocks.Clock;
   readonly log: telemetry.Log;
-  readonly processCheck: ProcessCheck;
+  readonly processCheck: Pick<ProcessCheck, 'hasEnded'>;
   /** Counts the runs whose target ended meanwhile. */
   readonly crashedRuns: telemetry.Counter;
   /** Sends an update to the other daemons. */
--- a/packages/relay/src/crashes/createProcessCheck.test.ts
+++ b/packages/relay/src/crashes/createProcessCheck.test.ts
@@ -55,4 +55,33 @@
   await stop();
 });
 
+/** Keeps the event loop busy in steps that are longer than the time limit of a check. */
+const keepBusy = () => {
+  const timer = setInterval(() => {
+    const endAtMs = performance.now() + 130;
+    while (performance.now() < endAtMs);
+  }, 1);
+  return () => clearInterval(timer);
+};
+
+test('finds out whether a target listens while the event loop is busy', async () => {
+  const { candidate, stop } = await listen();
+  const stopBusy = keepBusy();
+  assert.is(await createCheck().isListening(candidate), true);
+  await stop();
+  assert.is(await createCheck().isListening(candidate), false);
+  assert.is(await createCheck().hasEnded(candidate), true);
+  stopBusy();
+});
+
+test('takes a target that can not be reached neither for ended nor for listening', async () => {
+  const check = createProcessCheck({
+    clock: clocks.createSystemClock(),
+    localAddress: '192.0.2.1',
+  });
+  const candidate = { key: 't1@1', address: '127.0.0.1:9' };
+  assert.is(await check.hasEnded(candidate), false);
+  assert.is(await check.isListening(candidate), false);
+});
+
 test.run();
--- a/packages/relay/src/crashes/createProcessCheck.ts
+++ b/packages/relay/src/crashes/createProcessCheck.ts
@@ -5,9 +5,14 @@
 /** Finds out whether the process of a target has ended after a connection to it broke. */
 export interface ProcessCheck {
   /** Resolves with true only if the target's port refuses connections. */
-  readonly hasEnded: (candidate: Pick<Candidate, 'key' | 'address'>) => Promise<boolean>;
+  readonly hasEnded: (candidate: CheckedTarget) => Promise<boolean>;
+  /** Resolves with true only if the target's port accepts a connection, within the time of a few retransmissions. */
+  readonly isListening: (candidate: CheckedTarget) => Promise<boolean>;
 }
 
+/** The run of a target, and where it listens. */
+type CheckedTarget = Pick<Candidate, 'key' | 'address'>;
+
 /** Dependencies of the check. */
 export interface ProcessCheckOptions {
   readonly clock: clocks.Clock;
@@ -16,29 +21,25 @@
 
 /** Longer than two round trips between failure domains. */
 const connectTimeoutMs = 100;
+/** A packet that opens a connection is sent again after one second. */
+const patientTimeoutMs = 1_500;
 /** A crashed target stays down for seconds, so this result is reused. */
 const endedValidityMs = 250;
 
 interface Check {
   readonly startedAtMs: number;
-  readonly result: Promise<boolean>;
+  readonly result: Promise<targetClient.ListeningState>;
 }
 
 /** Creates a check without results. */
 export const createProcessCheck = ({ clock, localAddress }: ProcessCheckOptions): ProcessCheck => {
   const checks = new Map<string, Check>();
 
-  const connect = async (address: string) => {
-    const state = await targetClient.checkListening({
-      address,
-      localAddress,
-      timeoutMs: connectTimeoutMs,
-    });
-    return state === 'refused';
-  };
+  const connect = (address: string, timeoutMs: number) =>
+    targetClient.checkListening({ address, localAddress, timeoutMs });
 
-  const start = (key: string, address: string): Promise<boolean> => {
-    const result = connect(address);
+  const start = (key: string, address: string): Promise<targetClient.ListeningState> => {
+    const result = connect(address, connectTimeoutMs);
     checks.set(key, { startedAtMs: clock.monotonicMs(), result });
     return result;
   };
@@ -48,17 +49,24 @@
       if (nowMs - startedAtMs >= endedValidityMs) checks.delete(key);
     });
 
+  const check = async ({ key, address }: CheckedTarget): Promise<targetClient.ListeningState> => {
+    const brokeAtMs = clock.monotonicMs();
+    dropOutdated(brokeAtMs);
+    const earlier = checks.get(key);
+    if (earlier === undefined) return start(key, address);
+    if ((await earlier.result) === 'refused') return 'refused';
+    // An earlier check may have reached the process just before it ended.
+    const latest = checks.get(key);
+    if (latest !== undefined && latest.startedAtMs > brokeAtMs) return latest.result;
+    return start(key, address);
+  };
+
   return {
-    hasEnded: async ({ key, address }) => {
-      const brokeAtMs = clock.monotonicMs();
-      dropOutdated(brokeAtMs);
-      const earlier = checks.get(key);
-      if (earlier === undefined) return start(key, address);
-      if (await earlier.result) return true;
-      // An earlier check may have reached the process just before it ended.
-      const latest = checks.get(key);
-      if (latest !== undefined && latest.startedAtMs > brokeAtMs) return latest.result;
-      return start(key, address);
+    hasEnded: async (candidate) => (await check(candidate)) === 'refused',
+    isListening: async (candidate) => {
+      const state = await check(candidate);
+      if (state !== 'unknown') return state === 'listening';
+      return (await connect(candidate.address, patientTimeoutMs)) === 'listening';
     },
   };
 };
--- a/packages/relay/src/createTargetDirectory.ts
+++ b/packages/relay/src/createTargetDirectory.ts
@@ -19,6 +19,8 @@
   readonly allTargets: (service: fleet.Service, nowMs: number) => readonly Candidate[];
   /** Reports whether a service has targets for a model, but all of them are in failure domains that are emptied. */
   readonly isEmptied: (service: fleet.Service, modelName: string | undefined) => boolean;
+  /** Reports whether a run of a target is known to leave, or is no longer listed while no other run of it is. */
+  readonly isLeaving: (candidate: Pick<Candidate, 'key' | 'targetId'>) => boolean;
   /** Returns the maximum time for which the list of targets may be out of date. */
   readonly ageMs: () => number;
 }
@@ -154,6 +156,11 @@
 
   return {
     ageMs: targets.ageMs,
+    isLeaving: ({ key, targetId }) => {
+      const listed = targets.all().get(targetId);
+      if (listed === undefined || signals.isLeaving(key)) return true;
+      return fleet.runKeyOf(listed) === key && listed.state === 'leaving';
+    },
     groupHeads,
     standaloneTargets,
     allTargets: (service, nowMs) =>
--- a/packages/relay/src/endedTargets.test.ts
+++ b/packages/relay/src/endedTargets.test.ts
@@ -34,17 +34,24 @@
 interface EndCase {
   readonly isResumable: boolean;
   readonly sentCount: number;
-  /** Whether the process ends with its connections, or only the responses end. */
-  readonly endsProcess: boolean;
+  /** Whether the process ends with its connections, only its listener does, or only the responses end. */
+  readonly end: 'process' | 'listener' | 'responses';
 }
 
+/** Streams that take longer than this are hedged, which would run them on the other target too. */
+const latencyTargetMs = 20_000;
+
 /** Runs streams on a target that ends them; another target with all events is there for further runs. */
-const endStreams = async ({ isResumable, sentCount, endsProcess }: EndCase) => {
+const endStreams = async ({ isResumable, sentCount, end }: EndCase) => {
   let relay: TestRelay | undefined;
   let resumedCount = 0;
   const ending = createEndingTarget(sentCount, callerCount, (responses) => {
-    if (endsProcess) relay!.endTarget('t1');
-    else responses.forEach((response) => response.end());
+    if (end === 'process') {
+      relay!.endTarget('t1');
+      return;
+    }
+    if (end === 'listener') relay!.leave('t1');
+    responses.forEach((response) => response.end());
   });
   const whole = createStreamTarget(eventCount, 's2');
   const targets = [
@@ -60,7 +67,12 @@
   let answers: readonly CallerResponse[] = [];
   // The target of the relay's own failure domain gets all first runs while it has places.
   await withRelay(
-    { targets, route: { isResumable }, slots: 1_000, fleetRetryReserve: 1_000 },
+    {
+      targets,
+      route: { isResumable, latencyTargetMs, gapTargetMs: latencyTargetMs },
+      slots: 1_000,
+      fleetRetryReserve: 1_000,
+    },
     async (started) => {
       relay = started;
       answers = await Promise.all(
@@ -75,13 +87,13 @@
   answers.filter(({ isComplete }) => isComplete).length;
 
 test('do not look complete when they can not be resumed', async () => {
-  const { answers } = await endStreams({ isResumable: false, sentCount: 4, endsProcess: true });
+  const { answers } = await endStreams({ isResumable: false, sentCount: 4, end: 'process' });
   assert.is(answers.filter(({ text }) => text === eventsOf(1, 4)).length, callerCount);
   assert.is(completeCount(answers), 0);
 });
 
 test('are resumed at another target', async () => {
-  const { answers } = await endStreams({ isResumable: true, sentCount: 4, endsProcess: true });
+  const { answers } = await endStreams({ isResumable: true, sentCount: 4, end: 'process' });
   assert.is(answers.filter(({ text }) => text === eventsOf(1, eventCount)).length, callerCount);
   assert.is(completeCount(answers), callerCount);
 });
@@ -91,7 +103,7 @@
   const { answers, resumedCount } = await endStreams({
     isResumable: true,
     sentCount,
-    endsProcess: true,
+    end: 'process',
   });
   assert.is(resumedCount, callerCount);
   assert.is(answers.filter(({ text }) => text === eventsOf(1, eventCount)).length, callerCount);
@@ -123,15 +135,27 @@
 });
 
 test('fail when they have no event and can not be sent again', async () => {
-  const { answers } = await endStreams({ isResumable: false, sentCount: 0, endsProcess: true });
+  const { answers } = await endStreams({ isResumable: false, sentCount: 0, end: 'process' });
   assert.is(answers.filter(({ status }) => status === 502).length, callerCount);
 });
 
+test('are complete without another run when the target leaves and has closed its listener', async () => {
+  for (const isResumable of [true, false]) {
+    const { answers, resumedCount } = await endStreams({
+      isResumable,
+      sentCount: 4,
+      end: 'listener',
+    });
+    assert.is(resumedCount, 0);
+    assert.is(completeCount(answers), callerCount);
+  }
+});
+
 test('are complete when only the response ends', async () => {
   const { answers, resumedCount } = await endStreams({
     isResumable: true,
     sentCount: 4,
-    endsProcess: false,
+    end: 'responses',
   });
   assert.is(resumedCount, 0);
   assert.is(answers.filter(({ text }) => text === eventsOf(1, 4)).length, callerCount);
--- a/packages/relay/src/serveStream.ts
+++ b/packages/relay/src/serveStream.ts
@@ -1,4 +1,4 @@
-import { attemptStream, type Silence, type StreamResult } from './attemptStream';
+import { attemptStream, type EndProof, type Silence, type StreamResult } from './attemptStream';
 import { isWarmingUp, utilizationOf, type Candidate } from './chooseTarget';
 import type { RunEnd } from './crashes/createCrashMonitor';
 import { createMonitoredRun, endOfFailure } from './crashes/createMonitoredRun';
@@ -35,10 +35,10 @@
 const noGroupRetryAfterMs = 1_200;
 const fullRetryAfterMs = 1_200;
 
-const endOfStream = (result: StreamResult, { isDaemon }: Candidate): RunEnd => {
+const endOfStream = (result: StreamResult): RunEnd => {
   if (result.kind === 'failed') return endOfFailure(result.failure);
-  // The end of a close-delimited stream may also be the end of the process, which is checked for targets only.
-  return result.isCloseDelimited && isDaemon ? 'broken' : 'completed';
+  // The close of the connection may also have been the end of the process.
+  return result.endProof === 'none' ? 'broken' : 'completed';
 };
 
 /** A run that has failed, and whether its target is known to have ended by now. */
@@ -52,7 +52,7 @@
 interface CompleteRun {
   readonly candidate: Candidate;
   readonly statusCode: number;
-  readonly isCloseDelimited: boolean;
+  readonly endProof: EndProof;
 }
 
 /** Serves a request with a streaming response; resumes the stream at another head when a run fails or is silent. */
@@ -193,7 +193,7 @@
       onWrite: () => crashMonitor.onDispatch(monitored),
       onSilent: (silence) => handleSilence(candidate, control, sentAtMs, silence),
     });
-    const checked = crashMonitor.onEnd(monitored, endOfStream(result, candidate));
+    const checked = crashMonitor.onEnd(monitored, endOfStream(result));
     if (result.kind === 'complete') {
       return { kind: 'succeeded', success: { ...result, candidate } } as const;
     }
@@ -212,7 +212,7 @@
   });
   if (supervised.kind === 'caller-gone') return { kind: 'caller-gone' };
   if (supervised.kind === 'denied') return refuse(supervised.denial);
-  const { candidate, statusCode, isCloseDelimited } = supervised.success;
+  const { candidate, statusCode, endProof } = supervised.success;
   endWhenSent(response);
   const { eventCount, firstEventAtMs, maxGapMs } = progress.read();
   return {
@@ -224,7 +224,7 @@
       events: eventCount,
       firstEventMs: Math.round((firstEventAtMs ?? clock.monotonicMs()) - context.arrivedAtMs),
       maxGapMs: Math.round(maxGapMs),
-      endedBy: isCloseDelimited ? 'close' : 'framing',
+      endProof,
     },
   };
 };
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -50,6 +50,8 @@
   readonly suspected: readonly string[];
   /** Ends the process of a target: its connections break and its port refuses new ones. */
   readonly endTarget: (id: string) => void;
+  /** Lists a target as leaving and closes its listener; its connections stay open. */
+  readonly leave: (id: string) => void;
   /** Lists another run of a target, at the same address. */
   readonly listNextRun: (id: string) => void;
   readonly stop: () => Promise<void>;
@@ -353,6 +355,10 @@
       servers.get(id)?.close();
       servers.get(id)?.closeAllConnections();
     },
+    leave: (id) => {
+      targets.set(id, { ...targets.get(id)!, state: 'leaving' });
+      servers.get(id)?.close();
+    },
     listNextRun: (id) => {
       const target = targets.get(id)!;
       targets.set(id, { ...target, startedAtMs: target.startedAtMs + 1 });
--- a/packages/target-client/src/checkListening.ts
+++ b/packages/target-client/src/checkListening.ts
@@ -28,7 +28,8 @@
       socket.destroy();
       resolve(state);
     };
-    socket.setTimeout(timeoutMs, () => settle('unknown'));
+    // A busy process may find the timeout and the answer in the same iteration of the event loop.
+    socket.setTimeout(timeoutMs, () => setImmediate(() => settle('unknown')));
     socket.once('connect', () => settle('listening'));
     socket.once('error', (cause: NodeJS.ErrnoException) =>
       settle(cause.code === 'ECONNREFUSED' ? 'refused' : 'unknown'),
