Relay: a close-delimited answer is not whole if its target has ended

Cause: as for streams, the system closes the connections of a process that ends as if the answer were whole.

If it refuses connections and the target isn't leaving, an idempotent request runs on another target and any other gets 502, outcome unknown. The framing towards the caller stays that of the target.

--- a/packages/relay/src/attemptExchange.ts
+++ b/packages/relay/src/attemptExchange.ts
@@ -61,6 +61,15 @@
   return read;
 };
 
+/** Daemons that stop and targets that leave close their listeners before their last answers end. */
+const hasTargetEnded = async (
+  { directory, processCheck }: RelayDependencies,
+  candidate: Candidate,
+): Promise<boolean> => {
+  if (candidate.isDaemon || directory.isLeaving(candidate)) return false;
+  return processCheck.hasEnded(candidate);
+};
+
 /** Sends a request to a target and reads the complete response, until the deadline of the request. */
 export const attemptExchange = async (
   dependencies: RelayDependencies,
@@ -108,6 +117,14 @@
     if (answer.statusCode >= 500) {
       if (excuseOf(metadata) === undefined) targetTracker.onFailure(candidate.key, nowMs);
     } else targetTracker.onResponse(candidate.key, nowMs - sentAtMs, nowMs);
+    const isFramedByClose = isCloseDelimited(answer, context.request.method);
+    if (isFramedByClose && (await hasTargetEnded(dependencies, candidate))) {
+      const message = 'the process ended, perhaps before the end of the answer';
+      return {
+        kind: 'failed',
+        failure: { ran: 'unknown', message, wasRejected: false, wasBroken: true },
+      };
+    }
     const headers = forwardedHeadersOf(answer.headers);
     return {
       kind: 'answered',
@@ -115,7 +132,7 @@
         statusCode: answer.statusCode,
         headers,
         body: read.value,
-        isCloseDelimited: isCloseDelimited(answer, context.request.method),
+        isCloseDelimited: isFramedByClose,
       },
     };
   } finally {
