Target client: a reset that arrives together with data is no end of a close-delimited response

Cause: when data and a reset wait in the same poll of the event loop, libuv reads the data and reports a plain end; the error stays with the socket until the next call on it. A daemon that is busy, paused or short of processor time for a moment gets both in one poll.

Evidence: new test of `brokenAnswers`, red before (20 of 20 gave the part as whole), green now.

--- a/packages/target-client/src/brokenAnswers.test.ts
+++ b/packages/target-client/src/brokenAnswers.test.ts
@@ -47,12 +47,23 @@
 
 const finish: EndConnection = (socket) => socket.end();
 const reset: EndConnection = (socket) => socket.resetAndDestroy();
+const resetWithLastBytes: EndConnection = (socket) => {
+  socket.write('answer');
+  socket.resetAndDestroy();
+};
 
 test('a response without a length is complete when its connection ends, and broken when it is reset', async () => {
   assert.is(await requestFrom(closeDelimited, finish), 'body: half of the');
   assert.is(await requestFrom(closeDelimited, reset), 'answer-broken');
 });
 
+test('a response without a length is broken when its reset arrives together with its last bytes', async () => {
+  const results = await Promise.all(
+    Array.from({ length: 20 }, () => requestFrom(closeDelimited, resetWithLastBytes)),
+  );
+  assert.equal([...new Set(results)], ['answer-broken']);
+});
+
 test('a response with a length or in chunks is broken when its connection ends early', async () => {
   for (const end of [finish, reset]) {
     assert.is(await requestFrom(chunked, end), 'answer-broken');
--- a/packages/target-client/src/createBoundedAgent.ts
+++ b/packages/target-client/src/createBoundedAgent.ts
@@ -8,6 +8,16 @@
  */
 const maxFramingBytes = 65_536;
 
+/**
+ * Lets a reset that has arrived together with data show. libuv reports such a reset as a plain end, and leaves the error to the
+ * next call on the socket; an empty write sends nothing.
+ */
+const revealReset = (socket: Socket) => {
+  socket.prependListener('end', () => {
+    socket.write('');
+  });
+};
+
 /** Opens connections for a client that has one connection at a time, and closes those without progress. */
 const createProgressMonitor = (connect: undici.buildConnector.connector) => {
   let socket: Socket | undefined;
@@ -27,6 +37,7 @@
     connect(options, (...result) => {
       const [, opened] = result;
       socket = opened ?? undefined;
+      if (opened) revealReset(opened);
       progressBytes = 0;
       callback(...result);
       // Runs after the listener of undici, which has parsed the bytes by then.
@@ -35,6 +46,8 @@
 
   return {
     connect: monitoredConnect,
+    /** Returns the error of the connection, also before its listeners have been called. */
+    findFailure: () => socket?.errored ?? undefined,
     hasDelivered: () => (socket?.bytesRead ?? 0) > 0,
     onProgress: () => {
       progressBytes = socket?.bytesRead ?? 0;
@@ -64,6 +77,7 @@
             monitor.onProgress();
           },
           onProgress: monitor.onProgress,
+          findFailure: monitor.findFailure,
         }),
       ),
   });
--- a/packages/target-client/src/observeProgress.ts
+++ b/packages/target-client/src/observeProgress.ts
@@ -9,6 +9,8 @@
   /** Called when the request is about to be written to a connection. */
   readonly onStart: () => void;
   readonly onProgress: () => void;
+  /** Returns why a response that has just ended is not complete, if so. */
+  readonly findFailure: () => Error | undefined;
 }
 
 /**
@@ -17,7 +19,7 @@
  */
 export const observeProgress = (
   handler: Handler,
-  { onStart, onProgress }: ProgressObservers,
+  { onStart, onProgress, findFailure }: ProgressObservers,
 ): Handler => ({
   onConnect: (abort) => {
     onStart();
@@ -33,6 +35,10 @@
   },
   onResponseStarted: () => handler.onResponseStarted?.(),
   onUpgrade: (statusCode, headers, socket) => handler.onUpgrade?.(statusCode, headers, socket),
-  onComplete: (trailers) => handler.onComplete?.(trailers),
+  onComplete: (trailers) => {
+    const failure = findFailure();
+    if (failure === undefined) handler.onComplete?.(trailers);
+    else handler.onError?.(failure);
+  },
   onError: (cause) => handler.onError?.(cause),
 });
