--- a/packages/relay/src/crashes/createProcessCheck.ts
+++ b/packages/relay/src/crashes/createProcessCheck.ts
@@ -6,7 +6,7 @@
 export interface ProcessCheck {
   /** Resolves with true only if the target's port refuses connections. */
   readonly hasEnded: (candidate: CheckedTarget) => Promise<boolean>;
-  /** Resolves with true only if the target's port accepts a connection, within the time of a few retransmissions. */
+  /** Resolves with true only if the target's port accepts a connection, also if a packet is sent again. */
   readonly isListening: (candidate: CheckedTarget) => Promise<boolean>;
 }
 
