--- a/review/common-2/daemons.mjs
+++ b/review/common-2/daemons.mjs
@@ -16,16 +16,26 @@
   'relay',
 ];
 
-const findFreePort = async (host) => {
-  const server = http.createServer();
-  await new Promise((resolve) => {
-    server.listen(0, host, resolve);
-  });
-  const { port } = server.address();
-  await new Promise((resolve) => {
-    server.close(resolve);
+/** Below the ports that the system gives to outgoing connections. */
+const firstPort = 18_000;
+const portCount = 12_000;
+
+const isFree = (host, port) =>
+  new Promise((resolve) => {
+    const server = http.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
   });
-  return port;
+
+/** Returns a port that is free on an address, and that was not returned before. */
+const createPortFinder = () => {
+  let next = Math.floor(Math.random() * portCount);
+  return async (host) => {
+    for (;;) {
+      next = (next + 1) % portCount;
+      if (await isFree(host, firstPort + next)) return firstPort + next;
+    }
+  };
 };
 
 export const getStatus = (url) =>
@@ -48,12 +58,12 @@
 }) => {
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
   const daemons = [];
+  const findFreePort = createPortFinder();
   for (let index = 0; index < count; index += 1) {
     const ip = `127.0.0.${21 + index}`;
     const name = `edge-${index + 1}`;
-    const [callers, ready, peers, metrics] = [];
-    const ports = { callers, ready, peers, metrics };
-    for (const key of Object.keys(ports)) ports[key] = await findFreePort(ip);
+    const ports = {};
+    for (const key of ['callers', 'ready', 'peers', 'metrics']) ports[key] = await findFreePort(ip);
     const file = join(folder, `${name}.json`);
     const content = (isFirstStart) => ({
       instanceId: name,
@@ -91,7 +101,9 @@
         child.stderr.pipe(log);
       } else {
         child.stdout.resume();
-        child.stderr.resume();
+        child.stderr.on('data', (bytes) => {
+          daemon.errors = `${daemon.errors ?? ''}${bytes}`.slice(-400);
+        });
       }
       child.once('exit', (code, signal) => {
         daemon.exits.push({ code, signal, isExpected: daemon.isStopping === true });
@@ -104,9 +116,10 @@
     daemons,
     waitUntilReady: async (timeoutMs = 20_000) => {
       const endMs = Date.now() + timeoutMs;
-      for (const { ip, ready } of daemons) {
+      for (const daemon of daemons) {
+        const { ip, ready } = daemon;
         while ((await getStatus(`http://${ip}:${ready}/ready`)) !== 200) {
-          if (Date.now() > endMs) throw new Error(`${ip} did not become ready`);
+          if (Date.now() > endMs) throw new Error(`${ip} did not become ready: ${daemon.errors}`);
           await delay(50);
         }
       }
