Review: case 9, a stream that a leaving worker broke off looks complete

Breaks ORDER: a stream without a length and chunks that ends because its leaving worker is gone is passed on as complete, though it could be resumed.

--- a/review/common-2/model-worker.mjs
+++ b/review/common-2/model-worker.mjs
@@ -16,6 +16,7 @@
   host = '127.0.0.1',
   eventCount = 20,
   eventIntervalMs = 30,
+  isUnframed = false,
   record,
   handle,
 }) => {
@@ -29,6 +30,7 @@
   let active = 0;
   let group;
   let address;
+  let state = 'ready';
 
   const report = () => {
     const { name, epoch, rank, state: groupState } = group ?? {};
@@ -38,7 +40,7 @@
       zone,
       version: 'v1',
       slots: 18,
-      state: 'ready',
+      state,
       cold_remaining_ms: 0,
       phase: 'both',
       domain,
@@ -107,6 +109,10 @@
   };
   const stream = (request, response, requestId) => {
     let next = Number(request.headers['last-event-id'] ?? 0) + 1;
+    // Without a length and chunks the answer ends with its channel.
+    if (isUnframed) {
+      Object.assign(response, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+    }
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'x-comfreydrum-request-id': requestId,
@@ -188,6 +194,12 @@
     runs,
     orders,
     isOpen: () => group?.state === 'open',
+    isHead: () => group?.rank === 0,
+    /** Reports that the worker leaves; it serves on. */
+    drain: () => {
+      state = 'draining';
+      report();
+    },
     stop: () => {
       clearInterval(timer);
       server.close();
