--- a/review/common-2/case.mjs
+++ b/review/common-2/case.mjs
@@ -23,6 +23,11 @@
   const record = createRecord();
   const cleanUps = [];
   let code = 2;
+  ['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => process.exit(2)));
+  process.once('uncaughtException', (cause) => {
+    process.stdout.write(`could not run: ${cause.stack}\n`);
+    process.exit(2);
+  });
   const limit = setTimeout(() => {
     record.add({ event: 'result', result: 'could not run: over 115 s' });
     writeFileSync(fileURLToPath(new URL('record.txt', caseUrl)), `${record.lines.join('\n')}\n`);
--- a/review/common-2/daemons.mjs
+++ b/review/common-2/daemons.mjs
@@ -112,6 +112,8 @@
     daemon.start(true);
     daemons.push(daemon);
   }
+  // Also after an error of the case itself.
+  process.once('exit', () => daemons.forEach(({ child }) => child.kill('SIGKILL')));
   return {
     daemons,
     waitUntilReady: async (timeoutMs = 20_000) => {
