--- a/review/common-2/worker.mjs
+++ b/review/common-2/worker.mjs
@@ -62,6 +62,7 @@
     server.listen(0, host, resolve);
   });
   const address = `${host}:${server.address().port}`;
+  let onReport = () => {};
   const report = () => {
     sequence += 1;
     const entry = {
@@ -76,6 +77,7 @@
       born,
     };
     store.put('servers', id, { ...entry, ...fields });
+    onReport();
   };
   const beginReports = (delayMs) => {
     timer = setTimeout(() => {
@@ -83,6 +85,10 @@
       timer = setInterval(report, heartbeatMs);
     }, delayMs);
   };
+  const endReports = () => {
+    clearTimeout(timer);
+    clearInterval(timer);
+  };
   report();
   beginReports(Math.random() * heartbeatMs);
   return {
@@ -91,10 +97,15 @@
     runs,
     report,
     /** Ends the status reports; the worker serves on. */
-    endReports: () => {
-      clearTimeout(timer);
-      clearInterval(timer);
-    },
+    endReports,
+    /** Ends them with the next one that is due, and waits for it. */
+    endReportsAfterNext: () =>
+      new Promise((resolve) => {
+        onReport = () => {
+          endReports();
+          resolve();
+        };
+      }),
     setState: (next) => {
       state = next;
       report();
