Fix resets hidden by an unwritten request that made part of an answer look complete

Cause: a reset that arrives together with data is reported by libuv as a plain end of the connection. The client makes the reset visible by an empty write, but an empty write waits behind a pending one. While the request is still being written it shows nothing, and the end of the connection was taken for the end of the answer. A trace of one such request: 8,000,091 bytes not written yet at "end", no error before nor after the empty write.

Change: the end of a connection whose request has not been written whole proves nothing, so an answer that only ends with it is broken, however it was closed. Answers with a length or in chunks end by their framing and stay as they are. A target that answers without a length and closes before it has read a request that exceeds the socket buffers is now a failure (502, or another run) instead of a success; targets that keep the connection and read on are not affected.

--- a/packages/target-client/src/brokenAnswers.test.ts
+++ b/packages/target-client/src/brokenAnswers.test.ts
@@ -1,4 +1,5 @@
-import * as net from 'node:net';
+import type * as net from 'node:net';
+import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import * as targetClient from './index';
@@ -7,39 +8,36 @@
 
 type EndConnection = (socket: net.Socket) => void;
 
-/**
- * Sends a request to a target that writes `bytes` and then ends the connection by `end`. Returns the body, or the kind
- * of failure.
- */
-const requestFrom = async (bytes: string, end: EndConnection): Promise<string> => {
-  const server = net.createServer((socket) => {
-    socket.on('error', () => {});
-    socket.once('data', () => socket.write(bytes, () => setTimeout(() => end(socket), 20)));
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
+const maxBodyBytes = 1_024;
+
+/** Sends a request to a target that answers its first bytes, a GET without a body. Returns the body, or the kind of failure. */
+const sendTo = async (answer: testing.RawAnswer, body: Buffer | null): Promise<string> => {
   const client = targetClient.createTargetClient(undefined);
-  try {
-    const url = `http://127.0.0.1:${port}`;
+  let result = '';
+  await testing.withRawServer(answer, async (url) => {
     const sent = await client.send({
       url,
       path: '/',
-      method: 'GET',
+      method: body === null ? 'GET' : 'POST',
       headers: [],
-      body: null,
+      body,
       signal: AbortSignal.timeout(2_000),
     });
-    if (!sent.ok) return `failed: ${sent.error.ran}`;
-    const read = await targetClient.readWholeBody(sent.value.body, url, 1_024);
-    return read.ok ? `body: ${read.value.toString()}` : read.error.kind;
-  } finally {
-    await client.close();
-    server.close();
-  }
+    if (!sent.ok) {
+      result = `failed: ${sent.error.ran}`;
+      return;
+    }
+    const read = await targetClient.readWholeBody(sent.value.body, url, maxBodyBytes);
+    result = read.ok ? `body: ${read.value.toString()}` : read.error.kind;
+  });
+  await client.close();
+  return result;
 };
 
+/** Sends a request to a target that writes `bytes` and then ends the connection by `end`. */
+const requestFrom = (bytes: string, end: EndConnection): Promise<string> =>
+  sendTo((socket) => socket.write(bytes, () => setTimeout(() => end(socket), 20)), null);
+
 const closeDelimited = 'HTTP/1.1 200 OK\r\n\r\nhalf of the';
 const chunked =
   'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n';
@@ -71,6 +69,58 @@
   }
 });
 
+/** More than the socket buffers of both sides hold, so that the target answers while the request is being written. */
+const upload = Buffer.alloc(8_000_000);
+const resetDelaysMs = [0, 1, 5];
+
+/** Writes an answer without reading on, and ends the connection at once or after a delay. */
+const answerEarly =
+  (bytes: string, end: EndConnection, delayMs?: number): testing.RawAnswer =>
+  (socket) => {
+    socket.pause();
+    socket.write(bytes);
+    if (delayMs === undefined) end(socket);
+    else setTimeout(() => end(socket), delayMs);
+  };
+
+test('a response without a length is broken when it is reset while its request is written', async () => {
+  const results: string[] = [];
+  for (const delayMs of [undefined, ...resetDelaysMs]) {
+    for (let count = 0; count < 10; count += 1) {
+      results.push(await sendTo(answerEarly(closeDelimited, reset, delayMs), upload));
+    }
+  }
+  assert.equal(
+    results.filter((result) => result.startsWith('body')),
+    [],
+  );
+});
+
+test('a response without a length is broken when its connection ends while its request is written', async () => {
+  assert.is(await sendTo(answerEarly(closeDelimited, finish), upload), 'answer-broken');
+});
+
+test('a response without a length is complete when its target has read the whole request', async () => {
+  const answerLate: testing.RawAnswer = (socket, firstBytes) => {
+    let receivedBytes = firstBytes.length;
+    socket.on('data', (bytes) => {
+      receivedBytes += bytes.length;
+      if (receivedBytes >= upload.length) socket.end(closeDelimited);
+    });
+  };
+  assert.is(await sendTo(answerLate, upload), 'body: half of the');
+});
+
+test('a response with a length or in chunks is complete while its request is written', async () => {
+  const whole = [
+    'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nhalf',
+    'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n',
+  ];
+  for (const bytes of whole) {
+    assert.is(await sendTo(answerEarly(bytes, finish, 20), upload), 'body: half');
+  }
+});
+
 const informational = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
 
 test('a head that breaks off anywhere is no response', async () => {
--- a/packages/target-client/src/createBoundedAgent.ts
+++ b/packages/target-client/src/createBoundedAgent.ts
@@ -10,7 +10,7 @@
 
 /**
  * Lets a reset that has arrived together with data show. libuv reports such a reset as a plain end, and leaves the error to the
- * next call on the socket; an empty write sends nothing.
+ * next call on the socket; an empty write sends nothing. It shows nothing while an earlier write is pending, behind which it waits.
  */
 const revealReset = (socket: Socket) => {
   socket.prependListener('end', () => {
@@ -44,10 +44,25 @@
       opened?.on('readable', () => checkProgress(opened));
     });
 
+  /**
+   * Returns why the response that has just ended is not complete, if so; the error of the connection also before its listeners
+   * have been called.
+   */
+  const findFailure = (): Error | undefined => {
+    if (socket === undefined) return undefined;
+    if (socket.errored) return socket.errored;
+    const hasEndedEarly = socket.readableEnded && socket.writableLength > 0;
+    if (!hasEndedEarly) return undefined;
+    // The end of a connection that still has to carry a request is no proof: a reset looks the same while the write is pending.
+    const { remoteAddress, remotePort } = socket;
+    return new undici.errors.SocketError(
+      `${remoteAddress}:${remotePort} ended the connection before the request was written`,
+    );
+  };
+
   return {
     connect: monitoredConnect,
-    /** Returns the error of the connection, also before its listeners have been called. */
-    findFailure: () => socket?.errored ?? undefined,
+    findFailure,
     hasDelivered: () => (socket?.bytesRead ?? 0) > 0,
     onProgress: () => {
       progressBytes = socket?.bytesRead ?? 0;
