Fix reset answers that clients of the stand-alone path and the command line took for whole

An answer without a length whose connection was reset was taken for whole by the client of the object API (reads and writes), the prober of groups (a target that broke off its answer counted as ready), the order sender (a leader's work) and the administration client of the command line.

Cause: these used an agent of undici as it comes, which takes ECONNRESET for the regular end of such an answer.

Change: they use the agent of target-client, as the other clients do. Targets, other daemons, and the store and orders of the operators' platform had it already.

--- a/apps/comfreydrumctl/src/createAdminClient.ts
+++ b/apps/comfreydrumctl/src/createAdminClient.ts
@@ -1,4 +1,5 @@
 import * as errors from '@comfreydrum/errors';
+import * as targetClient from '@comfreydrum/target-client';
 import * as undici from 'undici';
 import { CommandFailure } from './CommandFailure';
 import { exitCodes } from './exitCodes';
@@ -40,34 +41,39 @@
 };
 
 /** Creates a client for the administration interface at `url`. */
-export const createAdminClient = (url: string, token: string): AdminClient => ({
-  url,
-  call: async (method, path, { body, headers } = {}) => {
-    const step = `${method} ${path}`;
-    let response: AdminResponse;
-    try {
-      const httpResponse = await undici.request(`${url}${path}`, {
-        method,
-        headers: {
-          authorization: `Bearer ${token}`,
-          'content-type': 'application/json',
-          ...headers,
-        },
-        body: body === undefined ? null : JSON.stringify(body),
-        headersTimeout: callTimeoutMs,
-        bodyTimeout: callTimeoutMs,
-      });
-      response = {
-        statusCode: httpResponse.statusCode,
-        body: parseBody(await httpResponse.body.text()),
-      };
-    } catch (cause) {
-      const message = `${url} gave no answer: ${errors.describeCause(cause)}`;
-      throw new CommandFailure(step, url, message, exitCodes.unavailable);
-    }
-    if (response.statusCode === 401 || response.statusCode === 403) {
-      throw new CommandFailure(step, url, describeError(response), exitCodes.failure);
-    }
-    return response;
-  },
-});
+export const createAdminClient = (url: string, token: string): AdminClient => {
+  const agent = targetClient.createBoundedAgent({
+    headersTimeout: callTimeoutMs,
+    bodyTimeout: callTimeoutMs,
+  });
+  return {
+    url,
+    call: async (method, path, { body, headers } = {}) => {
+      const step = `${method} ${path}`;
+      let response: AdminResponse;
+      try {
+        const httpResponse = await undici.request(`${url}${path}`, {
+          method,
+          dispatcher: agent,
+          headers: {
+            authorization: `Bearer ${token}`,
+            'content-type': 'application/json',
+            ...headers,
+          },
+          body: body === undefined ? null : JSON.stringify(body),
+        });
+        response = {
+          statusCode: httpResponse.statusCode,
+          body: parseBody(await httpResponse.body.text()),
+        };
+      } catch (cause) {
+        const message = `${url} gave no answer: ${errors.describeCause(cause)}`;
+        throw new CommandFailure(step, url, message, exitCodes.unavailable);
+      }
+      if (response.statusCode === 401 || response.statusCode === 403) {
+        throw new CommandFailure(step, url, describeError(response), exitCodes.failure);
+      }
+      return response;
+    },
+  };
+};
--- a/packages/groups/src/createOrderSender.ts
+++ b/packages/groups/src/createOrderSender.ts
@@ -1,6 +1,7 @@
 import type * as clock from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
 import type * as telemetry from '@comfreydrum/telemetry';
+import * as targetClient from '@comfreydrum/target-client';
 import * as undici from 'undici';
 import type { Order } from './dueOrders';
 
@@ -38,7 +39,7 @@
 /** Creates an order sender that uses one connection per target. */
 export const createOrderSender = (options: OrderSenderOptions): OrderSender => {
   const { clock, log, timeline } = options;
-  const agent = new undici.Agent({
+  const agent = targetClient.createBoundedAgent({
     connections: 1,
     connect: { timeout: options.timeoutMs },
     ...(options.localAddress === undefined ? {} : { localAddress: options.localAddress }),
--- a/packages/groups/src/createProber.test.ts
+++ b/packages/groups/src/createProber.test.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import * as clock from '@comfreydrum/clock';
+import * as testing from '@comfreydrum/testing';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { createProber } from './createProber';
@@ -33,4 +34,28 @@
   assert.is(calledFrom, '127.0.0.2');
 });
 
+// Guards against targets that are taken for ready although they broke off their answer.
+test('takes no answer without a length that is reset', async () => {
+  const resetDelaysMs = [undefined, 20];
+  for (const delayMs of resetDelaysMs) {
+    const answer: testing.RawAnswer = (socket) => {
+      socket.write(
+        'HTTP/1.1 200 OK\r\n\r\n{"instanceId":"engine-1","bootId":"boot-1","phase":"ready"}',
+      );
+      if (delayMs === undefined) socket.resetAndDestroy();
+      else setTimeout(() => socket.resetAndDestroy(), delayMs);
+    };
+    await testing.withRawServer(answer, async (url) => {
+      const prober = createProber({ clock: clock.createSystemClock(), timeoutMs: 2_000 });
+      const observed = new Promise<void>((resolve) => {
+        prober.onObservation(() => resolve());
+      });
+      prober.probe([{ instanceId: 'engine-1', url }]);
+      await observed;
+      await prober.close();
+      assert.is(prober.observe('engine-1')?.response, undefined);
+    });
+  }
+});
+
 test.run();
--- a/packages/groups/src/createProber.ts
+++ b/packages/groups/src/createProber.ts
@@ -1,4 +1,5 @@
 import type * as clock from '@comfreydrum/clock';
+import * as targetClient from '@comfreydrum/target-client';
 import * as undici from 'undici';
 import { presenceSchema, type Observation, type Presence } from './Presence';
 
@@ -34,7 +35,7 @@
 
 /** Creates a prober that keeps one connection per target. */
 export const createProber = ({ clock, timeoutMs, localAddress }: ProberOptions): Prober => {
-  const agent = new undici.Agent({
+  const agent = targetClient.createBoundedAgent({
     connections: 1,
     connect: { timeout: timeoutMs },
     ...(localAddress === undefined ? {} : { localAddress }),
--- a/packages/object-store/src/createHttpPlatformClient.ts
+++ b/packages/object-store/src/createHttpPlatformClient.ts
@@ -1,5 +1,6 @@
 import * as clocks from '@comfreydrum/clock';
 import * as errors from '@comfreydrum/errors';
+import * as targetClient from '@comfreydrum/target-client';
 import * as undici from 'undici';
 import * as zod from 'zod';
 import { listedInstanceSchema } from './ListedInstance';
@@ -54,7 +55,7 @@
 /** Creates an HTTP client of the object API, without call budget or retries. */
 export const createHttpPlatformClient = (options: HttpPlatformClientOptions): PlatformClient => {
   const connectTimeoutMs = options.callTimeoutMs;
-  const agent = new undici.Agent({
+  const agent = targetClient.createBoundedAgent({
     connect: { timeout: connectTimeoutMs },
     ...(options.localAddress === undefined ? {} : { localAddress: options.localAddress }),
   });
