Test that answers with status 000 or odd field names reach no caller

Stand-ins send a status of 000, 001, 099, of one, two or four digits, with a sign or none, and fields whose name holds a blank, a tab, a quote or a control byte, before, within and at the end, also in framing fields, in informational heads and in trailers; with a length, in chunks and without either.

The tests fail where a sound head is not told from a malformed one.

--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -8,6 +8,7 @@
   type EndlessCounts,
   type EndlessTarget,
 } from './http/createEndlessTarget';
+export { malformedFields, malformedStatusLines } from './http/malformedHeads';
 export { withRawServer, type RawAnswer } from './http/withRawServer';
 export type { EngineOptions } from './engine/EngineOptions';
 export { createEngineStandin, type EngineStandin } from './engine/createEngineStandin';
