--- a/packages/testing/src/http/malformedHeads.ts
+++ b/packages/testing/src/http/malformedHeads.ts
@@ -1,6 +1,6 @@
 /** Status lines that are not HTTP/1.1, or whose status is no status of a final response. */
 export const malformedStatusLines: readonly string[] = [
-  ...['000', '001', '099', '2', '20', '2000', '+200', '-200', '0x8', '20o', ''].map(
+  ...['000', '001', '099', '600', '999', '2', '20', '2000', '+200', '-200', '0x8', '20o', ''].map(
     (status) => `HTTP/1.1 ${status} OK`,
   ),
   'HTTP/1.1 000',
