--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -8,7 +8,8 @@
   type EndlessCounts,
   type EndlessTarget,
 } from './http/createEndlessTarget';
-export { malformedFields, malformedStatusLines } from './http/malformedHeads';
+export { malformedFields } from './http/malformedFields';
+export { malformedStatusLines } from './http/malformedStatusLines';
 export { withRawServer, type RawAnswer } from './http/withRawServer';
 export type { EngineOptions } from './engine/EngineOptions';
 export { createEngineStandin, type EngineStandin } from './engine/createEngineStandin';
