Fix whole answers that failed where a target ends its connection during an upload

Cause: called every answer broken whose connection ended before its request was written. A reset and a plain end can be told apart: the reset shows in the pending write, right after the end.

Change: the end of a connection is held back while its request is being written. A reset in that time breaks the answer, also one that follows a plain end.

--- a/packages/target-client/src/createBoundedAgent.ts
+++ b/packages/target-client/src/createBoundedAgent.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import * as undici from 'undici';
+import { holdEndWhileWriting } from './holdEndWhileWriting';
 import { observeProgress } from './observeProgress';
 
 /**
@@ -10,11 +11,11 @@
 
 /**
  * Lets a reset that has arrived together with data show. libuv reports such a reset as a plain end, and leaves the error to the
- * next call on the socket; an empty write sends nothing. It shows nothing while an earlier write is pending, behind which it waits.
+ * next call on the socket; an empty write sends nothing.
  */
 const revealReset = (socket: Socket) => {
   socket.prependListener('end', () => {
-    socket.write('');
+    if (!socket.writableEnded) socket.write('');
   });
 };
 
@@ -23,6 +24,7 @@
   let socket: Socket | undefined;
   /** Value of `bytesRead` of the socket at the last progress. */
   let progressBytes = 0;
+  let isReadingResponse = false;
 
   const checkProgress = (checked: Socket) => {
     const consumedBytes = checked.bytesRead - checked.readableLength;
@@ -37,36 +39,30 @@
     connect(options, (...result) => {
       const [, opened] = result;
       socket = opened ?? undefined;
-      if (opened) revealReset(opened);
+      if (opened) {
+        revealReset(opened);
+        holdEndWhileWriting(opened, () => isReadingResponse);
+      }
       progressBytes = 0;
       callback(...result);
       // Runs after the listener of undici, which has parsed the bytes by then.
       opened?.on('readable', () => checkProgress(opened));
     });
 
-  /**
-   * Returns why the response that has just ended is not complete, if so; the error of the connection also before its listeners
-   * have been called.
-   */
-  const findFailure = (): Error | undefined => {
-    if (socket === undefined) return undefined;
-    if (socket.errored) return socket.errored;
-    const hasEndedEarly = socket.readableEnded && socket.writableLength > 0;
-    if (!hasEndedEarly) return undefined;
-    // The end of a connection that still has to carry a request is no proof: a reset looks the same while the write is pending.
-    const { remoteAddress, remotePort } = socket;
-    return new undici.errors.SocketError(
-      `${remoteAddress}:${remotePort} ended the connection before the request was written`,
-    );
-  };
-
   return {
     connect: monitoredConnect,
-    findFailure,
+    /** Returns the error of the connection, also before its listeners have been called. */
+    findFailure: () => socket?.errored ?? undefined,
     hasDelivered: () => (socket?.bytesRead ?? 0) > 0,
     onProgress: () => {
       progressBytes = socket?.bytesRead ?? 0;
     },
+    onHead: () => {
+      isReadingResponse = true;
+    },
+    onEnd: () => {
+      isReadingResponse = false;
+    },
   };
 };
 
@@ -91,7 +87,9 @@
             request.onConnection?.(monitor.hasDelivered());
             monitor.onProgress();
           },
+          onHead: monitor.onHead,
           onProgress: monitor.onProgress,
+          onEnd: monitor.onEnd,
           findFailure: monitor.findFailure,
         }),
       ),
--- a/packages/target-client/src/observeProgress.ts
+++ b/packages/target-client/src/observeProgress.ts
@@ -13,19 +13,23 @@
 export interface ProgressObservers {
   /** Called when the request is about to be written to a connection. */
   readonly onStart: () => void;
+  /** Called at the final response head. */
+  readonly onHead: () => void;
+  /** Called at the final response head and at each part of the body. */
   readonly onProgress: () => void;
+  /** Called when the response has ended or the request has failed. */
+  readonly onEnd: () => void;
   /** Returns why a response that has just ended is not complete, if so. */
   readonly findFailure: () => Error | undefined;
 }
 
 /**
- * Calls `onStart` when a request starts, and `onProgress` at the final response head and at each part of the body. Aborts a request
- * whose response has an invalid status. Clients of an agent get handlers of undici's older interface only, which delivers the header
+ * Calls the observers of a request. Aborts a request whose response has an invalid status. Clients of an agent get handlers of undici's older interface only, which delivers the header
  * fields as received.
  */
 export const observeProgress = (
   handler: Handler,
-  { onStart, onProgress, findFailure }: ProgressObservers,
+  { onStart, onHead, onProgress, onEnd, findFailure }: ProgressObservers,
 ): Handler => {
   let abortRequest: (cause?: Error) => void = () => {};
   return {
@@ -39,7 +43,10 @@
         abortRequest(new Error(`the response has the invalid status ${statusCode}`));
         return false;
       }
-      if (statusCode >= firstFinalStatus) onProgress();
+      if (statusCode >= firstFinalStatus) {
+        onHead();
+        onProgress();
+      }
       return handler.onHeaders?.(statusCode, headers, resume, statusText) ?? true;
     },
     onData: (chunk) => {
@@ -49,10 +56,14 @@
     onResponseStarted: () => handler.onResponseStarted?.(),
     onUpgrade: (statusCode, headers, socket) => handler.onUpgrade?.(statusCode, headers, socket),
     onComplete: (trailers) => {
+      onEnd();
       const failure = findFailure();
       if (failure === undefined) handler.onComplete?.(trailers);
       else handler.onError?.(failure);
     },
-    onError: (cause) => handler.onError?.(cause),
+    onError: (cause) => {
+      onEnd();
+      handler.onError?.(cause);
+    },
   };
 };
