Test that the resumed run of a stream is not complete when its target resets it

The target of the test began each stream anew, so that a second run failed by the ids of its events and the reset of a resumed run was not shown. It goes on at the position asked for now; checks and counts are unchanged.

With the held end taken out, all five tests fail, and streams of four events, the last two of a resumed run, look complete; with it all five pass.

--- a/packages/relay/src/earlyAnswers.test.ts
+++ b/packages/relay/src/earlyAnswers.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { call } from './testing/callers';
-import { eventsOf } from './testing/streams';
+import { eventsOf, resumeIdOf } from './testing/streams';
 import { withRelay } from './testing/withRelay';
 
 const test = uvu.suite('answers without a length to requests that are still being written');
@@ -17,18 +17,24 @@
 
 /** Answers as soon as the head of a request has come, and resets the connection while the body is still arriving. */
 const resetEarly =
-  (body: string): http.RequestListener =>
+  (bodyOf: (request: http.IncomingMessage) => string): http.RequestListener =>
   (request) => {
     const requestId = String(request.headers['x-id']);
     const delayMs = resetDelaysMs[Number(requestId.slice(1)) % resetDelaysMs.length];
     const { socket } = request;
     socket.write(
-      `HTTP/1.1 200 OK\r\nx-id: ${requestId}\r\nx-stamp: s\r\ncontent-type: text/event-stream\r\n\r\n${body}`,
+      `HTTP/1.1 200 OK\r\nx-id: ${requestId}\r\nx-stamp: s\r\ncontent-type: text/event-stream\r\n\r\n${bodyOf(request)}`,
     );
     if (delayMs === undefined) socket.resetAndDestroy();
     else setTimeout(() => socket.resetAndDestroy(), delayMs);
   };
 
+/** Two events, from the position that a resumed stream asks for. */
+const nextEvents = (request: http.IncomingMessage) => {
+  const lastEventId = resumeIdOf(request);
+  return eventsOf(lastEventId + 1, lastEventId + 2);
+};
+
 const routes = [
   { kind: 'non-idempotent', maxTargets: 1 },
   { kind: 'idempotent', maxTargets: 2 },
@@ -38,7 +44,7 @@
 
 routes.forEach((route) =>
   test(`are not complete for callers when they are reset: ${route.kind}, ${route.maxTargets} targets`, async () => {
-    const targets = ['t1', 't2'].map((id) => ({ id, listener: resetEarly(eventsOf(1, 2)) }));
+    const targets = ['t1', 't2'].map((id) => ({ id, listener: resetEarly(nextEvents) }));
     const options = {
       targets,
       route,
@@ -71,13 +77,13 @@
   const helperOptions = {
     ...options,
     name: 'helper',
-    targets: [{ id: 'h1', listener: resetEarly('half of the') }],
+    targets: [{ id: 'h1', listener: resetEarly(() => 'half of the') }],
   };
   const cutOptions = {
     ...options,
     name: 'cut',
     peerAddresses: () => ['helper'],
-    targets: [{ id: 't1', listener: resetEarly('half of the') }],
+    targets: [{ id: 't1', listener: resetEarly(() => 'half of the') }],
   };
   await withRelay(helperOptions, () =>
     withRelay(cutOptions, async (cut) => {
