--- /dev/null
+++ b/review/lib-3/worker.mjs
@@ -0,0 +1,91 @@
+// A stand-in for a worker of a plain service, which registers itself in the store's stand-in.
+import { Buffer } from 'node:buffer';
+import http from 'node:http';
+import { setTimeout } from 'node:timers';
+
+export const startWorker = async ({
+  id,
+  ip,
+  zone,
+  service,
+  store,
+  slots = 6,
+  coldMs = 0,
+  workMs = 15,
+}) => {
+  const born = Date.now();
+  const arrivals = [];
+  let isListed = true;
+  let sequence = 0;
+  let isLeaving = false;
+
+  const coldRemainingMs = () => Math.max(0, born + coldMs - Date.now());
+
+  const serve = (request, response) => {
+    const expected = request.headers['x-comfreydrum-expect-instance'];
+    const requestId = String(request.headers['x-comfreydrum-request-id']);
+    const chunks = [];
+    request.on('data', (chunk) => chunks.push(chunk));
+    request.on('end', () => {
+      if (expected !== undefined && expected !== id) {
+        response.writeHead(421, { 'at-server': id, 'x-comfreydrum-request-id': requestId }).end();
+        return;
+      }
+      if (request.url === '/report') {
+        response.writeHead(200, { 'content-type': 'application/json' });
+        response.end(JSON.stringify({ born, busy: false, sequence, queued: 0, active: 0 }));
+        return;
+      }
+      arrivals.push({ requestId, sender: request.socket.remoteAddress, atMs: Date.now() });
+      setTimeout(() => {
+        response.writeHead(200, {
+          'x-comfreydrum-request-id': requestId,
+          'x-comfreydrum-server-stamp': `stamp.${id}.${requestId}`,
+          // A worker that leaves says so in all its answers.
+          ...(isLeaving ? { 'server-leaving': '1', connection: 'close' } : {}),
+        });
+        response.end(`${id} ${requestId} ${Buffer.concat(chunks).toString()}`);
+      }, workMs);
+    });
+  };
+
+  const server = http.createServer({ keepAliveTimeout: 10_000 }, serve);
+  await new Promise((resolve) => {
+    server.listen(0, ip, resolve);
+  });
+  const address = `${ip}:${server.address().port}`;
+
+  /** Writes the entry, as a status report does. */
+  const report = () => {
+    if (!isListed) return;
+    sequence += 1;
+    store.write('servers', id, {
+      service,
+      address,
+      zone,
+      version: 'v1',
+      slots,
+      state: 'ready',
+      cold_remaining_ms: coldRemainingMs(),
+      born,
+    });
+  };
+  report();
+
+  return {
+    id,
+    address,
+    arrivals,
+    report,
+    /** Takes the entry away without having reported `draining`; goes on serving. */
+    leaveUnannounced: () => {
+      isListed = false;
+      isLeaving = true;
+      store.remove('servers', id);
+    },
+    stop: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
