--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -2,6 +2,7 @@
 import { Buffer } from 'node:buffer';
 import http from 'node:http';
 import { setTimeout } from 'node:timers';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 export const startWorker = async ({
   id,
@@ -18,6 +19,10 @@
   let isListed = true;
   let sequence = 0;
   let isLeaving = false;
+  let silentUntilMs = 0;
+  /** Addresses of daemons that are partitioned from this worker. */
+  const cutOff = new Set();
+  const sockets = new Set();
 
   const coldRemainingMs = () => Math.max(0, born + coldMs - Date.now());
 
@@ -26,7 +31,8 @@
     const requestId = String(request.headers['x-comfreydrum-request-id']);
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
-    request.on('end', () => {
+    request.on('end', async () => {
+      while (Date.now() < silentUntilMs) await sleep(silentUntilMs - Date.now());
       if (expected !== undefined && expected !== id) {
         response.writeHead(421, { 'at-server': id, 'x-comfreydrum-request-id': requestId }).end();
         return;
@@ -50,6 +56,14 @@
   };
 
   const server = http.createServer({ keepAliveTimeout: 10_000 }, serve);
+  server.on('connection', (socket) => {
+    if (cutOff.has(socket.remoteAddress)) {
+      socket.resetAndDestroy();
+      return;
+    }
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   await new Promise((resolve) => {
     server.listen(0, ip, resolve);
   });
@@ -83,6 +97,18 @@
       isLeaving = true;
       store.remove('servers', id);
     },
+    /** Answers nothing for a while, and then goes on. */
+    fallSilent: (durationMs) => {
+      silentUntilMs = Date.now() + durationMs;
+    },
+    /** Resets the channels of a daemon, and each new one, until the cut ends. */
+    cutOff: (daemonIp) => {
+      cutOff.add(daemonIp);
+      sockets.forEach((socket) => {
+        if (socket.remoteAddress === daemonIp) socket.resetAndDestroy();
+      });
+    },
+    endCut: (daemonIp) => cutOff.delete(daemonIp),
     stop: () => {
       server.close();
       server.closeAllConnections();
