Review case 12: requests sent ahead are lost behind an answer without a length

Breaks LOST: requests that were passed on to sound workers get no answer and their channel is closed.

--- a/review/lib-3/modelWorker.mjs
+++ b/review/lib-3/modelWorker.mjs
@@ -154,6 +154,12 @@
     address,
     orders,
     arrivals,
+    /** Ends the process: nothing listens any more, and all channels are closed. */
+    crash: () => {
+      store.remove('servers', id);
+      server.close();
+      server.closeAllConnections();
+    },
     isOpen: () => group?.rank === 0 && group.state === 'open',
     stop: () => {
       server.close();
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -13,6 +13,7 @@
   slots = 6,
   coldMs = 0,
   workMs = 15,
+  isUnframed = false,
 }) => {
   const born = Date.now();
   const arrivals = [];
@@ -44,13 +45,18 @@
       }
       arrivals.push({ requestId, sender: request.socket.remoteAddress, atMs: Date.now() });
       setTimeout(() => {
+        // Neither a length nor chunks: the answer ends with its channel.
+        if (isUnframed) {
+          Object.assign(response, { useChunkedEncodingByDefault: false, shouldKeepAlive: false });
+        }
         response.writeHead(200, {
           'x-comfreydrum-request-id': requestId,
           'x-comfreydrum-server-stamp': `stamp.${id}.${requestId}`,
           // A worker that leaves says so in all its answers.
           ...(isLeaving ? { 'server-leaving': '1', connection: 'close' } : {}),
         });
-        response.end(`${id} ${requestId} ${Buffer.concat(chunks).toString()}`);
+        response.write(`${id} ${requestId} ${Buffer.concat(chunks).toString()}`);
+        response.end();
       }, workMs);
     });
   };
