--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -146,7 +146,6 @@
     const isBroken = await play({
       folder,
       record,
-      hasTrouble: process.env.TROUBLE !== '0',
       addDaemon: async (options) => {
         const daemon = await startDaemon({ folder, ...options });
         daemons.push(daemon);
