Formation: log what tells a stale list from a head taken for gone

'forming group' names the token, for how long it has been held, the age of the list and the group in which each member is listed; a line says when a holder begins to act, and one why the head of a group is taken to have left. From the lines of before, a group formed from an old list and one formed from the members of a group that was taken for over look alike.

--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -84,6 +84,12 @@
 
 const suspicionSchema = zod.object({ targetId: zod.string(), isSilent: zod.boolean() });
 
+/** Describes the group that a target is listed in, for the log. */
+const describeMembership = ({ id, membership }: fleet.Target): string =>
+  membership === undefined
+    ? `${id}: none`
+    : `${id}: ${membership.groupName} ${membership.rank} ${membership.state}`;
+
 /** Reports whether a group was formed under a token. */
 const isFormedUnder = ({ epoch }: fleet.Group, token: number): boolean =>
   Math.floor(epoch / epochsPerToken) === token;
@@ -110,6 +116,7 @@
   let timer: NodeJS.Timeout | undefined;
   let epochCount = 0;
   let mixToken: number | undefined;
+  let tokenSinceMs = -Infinity;
   let isScheduled = false;
   let lastOrderAtMs = -Infinity;
 
@@ -222,7 +229,20 @@
         const groupName = fleet.formatGroupName(modelName, epoch);
         const memberIds = members.map(({ id }) => id);
         const order = { token, groupName, epoch, modelName, memberIds };
-        log.info({ step: 'form', groupName, epoch, memberIds, reason }, 'forming group');
+        log.info(
+          {
+            step: 'form',
+            groupName,
+            epoch,
+            memberIds,
+            reason,
+            token,
+            tokenAgeMs: Math.round(clock.monotonicMs() - tokenSinceMs),
+            listAgeMs: Math.round(targets.ageMs()),
+            listed: members.map(describeMembership),
+          },
+          'forming group',
+        );
         orderTracker.recordForm({ key: fleet.groupKeyOf({ groupName, epoch }) }, members);
         members.forEach((target) => {
           orderTracker.recordOrder(target);
@@ -286,7 +306,12 @@
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
     if (!state.mayAct || targets.ageMs() > maxListAgeMs || !targets.isSettled()) return;
-    if (state.token !== mixToken) mixControl.reset();
+    if (state.token !== mixToken) {
+      mixControl.reset();
+      tokenSinceMs = clock.monotonicMs();
+      const fields = { step: 'lease', token: state.token, listAgeMs: Math.round(targets.ageMs()) };
+      log.info(fields, 'the holder begins to act');
+    }
     mixToken = state.token;
     const listed = targets.all();
     orderTracker.dropSettled(listed);
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -40,6 +40,8 @@
   /** When the first query for a head that was never listed was made; undefined without such a query. */
   readonly missingSinceMs: number | undefined;
   readonly listedAtMs: number;
+  /** When the head was last listed as such. */
+  readonly headListedAtMs: number;
   readonly checkedAtMs: number;
   readonly isChecking: boolean;
   readonly gone: boolean;
@@ -89,6 +91,8 @@
 export const createHeadCheck = (options: HeadCheckOptions): HeadCheck => {
   const { clock, log, orders, calls } = options;
   const heads = new Map<string, HeadState>();
+  /** Groups whose head was reported to have left, which is logged once. */
+  const leftKeys = new Set<string>();
   let hasSeenGroups = false;
 
   const isReachable = async (target: fleet.Target): Promise<boolean> => {
@@ -136,6 +140,9 @@
         askedCount: askedPeers.length,
         answeredCount: responses.length,
         gone,
+        listedMsAgo: Math.round(
+          clock.monotonicMs() - (heads.get(groupKey)?.headListedAtMs ?? -Infinity),
+        ),
       },
       gone ? 'no daemon can reach the head' : 'the head may still serve',
     );
@@ -156,6 +163,21 @@
     return atMs !== undefined && clock.monotonicMs() - atMs >= headJoinTimeoutMs;
   };
 
+  /** Finds out from the list whether the head has left, and how that shows. */
+  const findDeparture = (
+    { key, name, epoch }: fleet.Group,
+    listed: ReadonlyMap<string, fleet.Target>,
+  ): string | undefined => {
+    const target = heads.get(key)?.target;
+    if (target === undefined) return hasHeadNeverJoined(key) ? 'never listed' : undefined;
+    const now = listed.get(target.id);
+    if (now === undefined) return undefined;
+    if (now.startedAtMs !== target.startedAtMs) return 'another run is listed';
+    if (now.membership === undefined) return 'listed in no group';
+    const isMember = now.membership.groupName === name && now.membership.epoch === epoch;
+    return isMember ? undefined : `listed in ${now.membership.groupName}`;
+  };
+
   return {
     recordHeads: (groups) => {
       const nowMs = clock.monotonicMs();
@@ -167,21 +189,33 @@
           checkedAtMs: -Infinity,
           isChecking: false,
           gone: false,
+          headListedAtMs: -Infinity,
         };
-        heads.set(key, { ...known, target: known.target ?? head, listedAtMs: nowMs });
+        heads.set(key, {
+          ...known,
+          target: known.target ?? head,
+          listedAtMs: nowMs,
+          headListedAtMs: head === undefined ? known.headListedAtMs : nowMs,
+        });
       });
       hasSeenGroups ||= groups.length > 0;
       heads.forEach(({ listedAtMs }, key) => {
-        if (nowMs - listedAtMs > retentionMs) heads.delete(key);
+        if (nowMs - listedAtMs <= retentionMs) return;
+        heads.delete(key);
+        leftKeys.delete(key);
       });
     },
-    hasLeft: ({ key, name, epoch }, listed) => {
-      const target = heads.get(key)?.target;
-      if (target === undefined) return hasHeadNeverJoined(key);
-      const now = listed.get(target.id);
-      if (now === undefined) return false;
-      if (now.startedAtMs !== target.startedAtMs) return true;
-      return now.membership?.groupName !== name || now.membership.epoch !== epoch;
+    hasLeft: (group, listed) => {
+      const departure = findDeparture(group, listed);
+      if (departure !== undefined && !leftKeys.has(group.key)) {
+        leftKeys.add(group.key);
+        const targetId = heads.get(group.key)?.target?.id;
+        log.info(
+          { step: 'head check', group: group.key, targetId, departure },
+          'the head has left',
+        );
+      }
+      return departure !== undefined;
     },
     isGone: ({ key }) => {
       const head = heads.get(key);
