A holder of the lease acts only on a list that is newer than its lease

Cause: a daemon that takes the lease over acts on the list that it has, up to 4.5 s old, and at once where the holder before it is known to have stopped. It takes targets for free that this one has put into groups since.

Change: the holder waits for a list that was read since it first saw its token.

--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -117,6 +117,7 @@
   let epochCount = 0;
   let mixToken: number | undefined;
   let tokenSinceMs = -Infinity;
+  let actingToken: number | undefined;
   let isScheduled = false;
   let lastOrderAtMs = -Infinity;
 
@@ -300,19 +301,28 @@
     }
   };
 
+  /** Reports whether the list is recent, and shows what the holder before this one has done. */
+  const isListCurrent = (): boolean => {
+    const ageMs = targets.ageMs();
+    return ageMs <= maxListAgeMs && ageMs <= clock.monotonicMs() - tokenSinceMs;
+  };
+
   const planAndExecute = () => {
     headCheck.recordHeads(targets.groups());
     const state = lease.state();
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
-    if (!state.mayAct || targets.ageMs() > maxListAgeMs || !targets.isSettled()) return;
     if (state.token !== mixToken) {
       mixControl.reset();
       tokenSinceMs = clock.monotonicMs();
+    }
+    mixToken = state.token;
+    if (!state.mayAct || !targets.isSettled() || !isListCurrent()) return;
+    if (actingToken !== state.token) {
       const fields = { step: 'lease', token: state.token, listAgeMs: Math.round(targets.ageMs()) };
       log.info(fields, 'the holder begins to act');
     }
-    mixToken = state.token;
+    actingToken = state.token;
     const listed = targets.all();
     orderTracker.dropSettled(listed);
     detector.tick(listed);
