Groups are formed only of targets that confirm themselves to be free

Cause, as a class: an order is given on what the list says, which may be older than the latest order to the same target, whoever gave it and however the list came to lag (another holder, an order that got no answer and was carried out late, an entry of an older copy of the store).

Change: before a group is formed, each member is asked for its report. One that is in another group than the list shows, that serves, that has restarted or that doesn't answer is not ordered to join. The order to join names the count of orders in the report, and the target refuses it (409) if another order came in between. 'group not formed' and comfreydrum_unformed_groups_total tell how often and why.

--- a/packages/formation/src/TargetOrders.ts
+++ b/packages/formation/src/TargetOrders.ts
@@ -18,6 +18,8 @@
   readonly modelName: string;
   /** The first member is the head. */
   readonly memberIds: readonly string[];
+  /** Number of orders that the target must have begun; it refuses the order if another one came first. */
+  readonly expectedOrderCount?: number | undefined;
 }
 
 /** Whether a closing head finishes its requests or sheds them. */
@@ -44,6 +46,9 @@
   readonly paceFactor: number;
   readonly activeRequests: number;
   readonly queuedRequests: number;
+  readonly membership: fleet.GroupMembership | undefined;
+  /** Number of orders that the target has begun since its start, if it tells. */
+  readonly orderCount: number | undefined;
 }
 
 /** The reason for a failed probe: a refused connection or no response. */
--- /dev/null
+++ b/packages/formation/src/confirmMembers.test.ts
@@ -0,0 +1,77 @@
+import * as errors from '@comfreydrum/errors';
+import type * as fleet from '@comfreydrum/fleet';
+import * as assert from 'uvu/assert';
+import * as uvu from 'uvu';
+import { confirmMembers } from './confirmMembers';
+import type { ProbeFailure, TargetReport } from './TargetOrders';
+
+const test = uvu.suite('confirmation of the members of a group to be formed');
+
+const membershipOf = (
+  epoch: number,
+  rank: number,
+  state: fleet.MembershipState,
+): fleet.GroupMembership => ({ groupName: `draft.${epoch}`, epoch, rank, state });
+
+const confirm = async (
+  listed: fleet.GroupMembership | undefined,
+  report: Partial<TargetReport> | undefined,
+) => {
+  const target = { id: 'm1', startedAtMs: 1, membership: listed } as fleet.Target;
+  const { confirmed, unconfirmed } = await confirmMembers(
+    {
+      probe: async ({ id }) =>
+        report === undefined
+          ? errors.err<ProbeFailure>({ kind: 'silent', step: 'probe', peer: id, message: 'silent' })
+          : errors.ok({
+              targetId: id,
+              startedAtMs: 1,
+              paceFactor: 1,
+              activeRequests: 0,
+              queuedRequests: 0,
+              membership: undefined,
+              orderCount: 3,
+              ...report,
+            }),
+    },
+    [target],
+  );
+  return { orderCounts: confirmed.map(({ orderCount }) => orderCount), unconfirmed };
+};
+
+const isConfirmed = async (...args: Parameters<typeof confirm>) => {
+  const { orderCounts, unconfirmed } = await confirm(...args);
+  assert.is(orderCounts.length + unconfirmed.length, 1);
+  return orderCounts.length === 1;
+};
+
+test('passes targets on whose reports agree with the list, with their order counts', async () => {
+  assert.equal(await confirm(undefined, {}), { orderCounts: [3], unconfirmed: [] });
+  const membership = membershipOf(4, 1, 'ready');
+  assert.ok(await isConfirmed(membership, { membership }));
+  assert.ok(await isConfirmed(membership, { membership: membershipOf(4, 1, 'broken') }));
+});
+
+test('holds back targets that are in another group than the list shows', async () => {
+  const listed = membershipOf(4, 1, 'ready');
+  assert.not(await isConfirmed(undefined, { membership: listed }));
+  assert.not(await isConfirmed(listed, { membership: membershipOf(5, 1, 'ready') }));
+  assert.not(await isConfirmed(listed, { membership: undefined }));
+});
+
+test('holds back heads that serve, whatever the list shows', async () => {
+  const listed = membershipOf(4, 0, 'ready');
+  assert.not(await isConfirmed(listed, { membership: membershipOf(4, 0, 'open') }));
+  assert.not(await isConfirmed(listed, { membership: membershipOf(4, 0, 'closing') }));
+});
+
+test('holds back targets that give no report or have restarted', async () => {
+  const { unconfirmed } = await confirm(undefined, undefined);
+  assert.equal(
+    unconfirmed.map(({ isSilent }) => isSilent),
+    [true],
+  );
+  assert.not(await isConfirmed(undefined, { startedAtMs: 2 }));
+});
+
+test.run();
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -6,6 +6,7 @@
 import * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
 import type { Lease } from './createLease';
+import { confirmMembers } from './confirmMembers';
 import { toOrderResponse } from './toOrderResponse';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
@@ -21,7 +22,7 @@
 import type { FormationStep } from './FormationStep';
 import { planFormation, type FormationInput } from './planFormation';
 import { summarizeFleet } from './summarizeFleet';
-import type { OrderOutcome, TargetOrders } from './TargetOrders';
+import type { FencedOrder, GroupRef, OrderOutcome, TargetOrders } from './TargetOrders';
 
 /** A target that may be lost, since a request to it failed. */
 export interface Suspicion {
@@ -103,6 +104,11 @@
     'Orders to targets, by what became of them.',
     ['order', 'outcome'],
   );
+  const unformedCount = options.metrics.counter(
+    'comfreydrum_unformed_groups_total',
+    'Groups that were planned and not formed, as their members or the lease had changed.',
+    ['cause'],
+  );
   const orderTracker = createOrderTracker(clock);
   const registrationWatch = createRegistrationWatch(clock);
   const mixControl = createMixControl({ clock, log, metrics: options.metrics });
@@ -219,6 +225,44 @@
     work = noWork;
   };
 
+  /** Orders the members to join if their own reports confirm that they are free. */
+  const formGroup = async (
+    { modelName, members }: Extract<FormationStep, { readonly kind: 'form' }>,
+    ref: FencedOrder & GroupRef,
+  ) => {
+    const { groupName, epoch, token } = ref;
+    const group = { key: fleet.groupKeyOf(ref) };
+    members.forEach(orderTracker.recordOrder);
+    orderTracker.recordForm(group, members);
+    const { confirmed, unconfirmed } = await confirmMembers(orders, members);
+    const state = lease.state();
+    const mayAct = state.kind === 'holder' && state.mayAct && state.token === token;
+    if (!mayAct || unconfirmed.length > 0) {
+      orderTracker.recordUnsentForm(group, members);
+      unconfirmed.forEach(({ target }) => orderTracker.recordFailure(target));
+      const reasons = unconfirmed.map(({ target, reason }) => `${target.id}: ${reason}`);
+      unformedCount.add({ cause: mayAct ? 'members' : 'lease' });
+      log.info({ step: 'form', groupName, epoch, mayAct, reasons }, 'group not formed');
+      detector.suspect(
+        unconfirmed.filter(({ isSilent }) => isSilent).map(({ target }) => target),
+        false,
+      );
+      scheduleStep();
+      return;
+    }
+    const memberIds = members.map(({ id }) => id);
+    orderTracker.recordForm(group, members);
+    confirmed.forEach(({ target, orderCount: expectedOrderCount }) => {
+      orderTracker.recordOrder(target);
+      const order = { ...ref, modelName, memberIds, expectedOrderCount };
+      sendOrder(target, 'join', { groupName, epoch, expectedOrderCount }, async () => {
+        const outcome = await orders.join(target, order);
+        orderTracker.recordJoinResponse(target, epoch, outcome !== 'unanswered');
+        return outcome;
+      });
+    });
+  };
+
   const executeStep = (next: FormationStep, token: number) => {
     // Staging takes many seconds and nothing waits for it, so the list need not be read more often.
     if (next.kind !== 'stage') lastOrderAtMs = clock.monotonicMs();
@@ -226,16 +270,14 @@
       case 'form': {
         epochCount += 1;
         const epoch = token * epochsPerToken + epochCount;
-        const { modelName, members, reason } = next;
-        const groupName = fleet.formatGroupName(modelName, epoch);
-        const memberIds = members.map(({ id }) => id);
-        const order = { token, groupName, epoch, modelName, memberIds };
+        const { members, reason } = next;
+        const groupName = fleet.formatGroupName(next.modelName, epoch);
         log.info(
           {
             step: 'form',
             groupName,
             epoch,
-            memberIds,
+            memberIds: members.map(({ id }) => id),
             reason,
             token,
             tokenAgeMs: Math.round(clock.monotonicMs() - tokenSinceMs),
@@ -244,15 +286,7 @@
           },
           'forming group',
         );
-        orderTracker.recordForm({ key: fleet.groupKeyOf({ groupName, epoch }) }, members);
-        members.forEach((target) => {
-          orderTracker.recordOrder(target);
-          sendOrder(target, 'join', { groupName, epoch }, async () => {
-            const outcome = await orders.join(target, order);
-            orderTracker.recordJoinResponse(target, epoch, outcome !== 'unanswered');
-            return outcome;
-          });
-        });
+        void formGroup(next, { token, groupName, epoch });
         return;
       }
       case 'open': {
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -8,6 +8,8 @@
   readonly recordOrder: (target: fleet.Target) => void;
   /** Records the orders that form a group. */
   readonly recordForm: (group: KeyedGroup, members: readonly fleet.Target[]) => void;
+  /** Records that the orders of `recordForm` are not sent. */
+  readonly recordUnsentForm: (group: KeyedGroup, members: readonly fleet.Target[]) => void;
   /** Records whether an order to join got a response; one without a response may be executed at any time. */
   readonly recordJoinResponse: (target: fleet.Target, epoch: number, isAnswered: boolean) => void;
   readonly recordOpen: (group: KeyedGroup) => void;
@@ -110,6 +112,11 @@
         expiresAtMs: clock.monotonicMs() + formationTimeoutMs,
       });
     },
+    recordUnsentForm: ({ key }, members) => {
+      formedKeys.delete(key);
+      pendingFormations.delete(key);
+      members.forEach((member) => pendingOrders.delete(fleet.runKeyOf(member)));
+    },
     recordJoinResponse: (target, epoch, isAnswered) => {
       const key = fleet.runKeyOf(target);
       const before = unansweredEpochs.get(key) ?? 0;
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -40,6 +40,8 @@
       paceFactor: 1,
       activeRequests: 0,
       queuedRequests: 0,
+      membership: undefined,
+      orderCount: undefined,
     });
   },
 });
