A group is not taken for over because its head isn't listed

What callers saw: cut streams, as members of a group that served were ordered into another one.

Cause: a daemon that sees the members of a group listed for a second, but not its head, took the head for one that never joined, and used the members again without leaving. The head may serve all the same: its entry lapses while it or the store is out of reach, and a daemon that has just started, or whose list skips the time in which the head was listed, has never seen it.

Change: only a group that this holder has formed itself, and whose head it has never ordered to open, is over when its head isn't listed. Others wait as for any unlisted head (8 s, then members leave).

Evidence: lossDetection 'takes a head that was never listed neither for gone nor for one that never joined' failed before and passes.

--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -371,7 +371,9 @@
         isSurelyLost: detector.isSurelyLost,
         isFinishing: orderTracker.isFinishing,
         isHeadGone: headCheck.isGone,
-        hasHeadLeft: (group) => headCheck.hasLeft(group, listed),
+        hasHeadLeft: (group) =>
+          headCheck.hasLeft(group, listed) ||
+          (isFormedUnder(group, state.token) && orderTracker.isNeverOpened(group)),
         isForming: orderTracker.isForming,
         mayOpen: (group) => isFormedUnder(group, state.token) && orderTracker.mayOpen(group),
         mayBeOpening: (group) =>
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -14,7 +14,7 @@
   readonly recordHeads: (groups: readonly fleet.Group[]) => void;
   /** Reports whether no daemon can reach the head, and starts a check of it in the background if one is due. */
   readonly isGone: (group: fleet.Group) => boolean;
-  /** Reports whether, according to the list, the head has left the group, has restarted or never joined. */
+  /** Reports whether, according to the list, the head has left the group or has restarted. */
   readonly hasLeft: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
 }
 
@@ -35,8 +35,6 @@
 interface HeadState {
   /** Undefined until the head is listed. */
   readonly target: fleet.Target | undefined;
-  /** When the group was first listed; undefined for one that was in the first list with groups. */
-  readonly appearedAtMs: number | undefined;
   /** When the first query for a head that was never listed was made; undefined without such a query. */
   readonly missingSinceMs: number | undefined;
   readonly listedAtMs: number;
@@ -56,8 +54,6 @@
 const recheckMs = 500;
 /** Groups that are no longer listed are forgotten after this time. */
 const retentionMs = 60_000;
-/** The members of a group are listed within this time of each other. */
-const headJoinTimeoutMs = 1_000;
 /** An unknown head no longer serves after this time: it has left, or its group broke when it lost a member. */
 const unknownHeadTimeoutMs = 8_000;
 
@@ -93,7 +89,6 @@
   const heads = new Map<string, HeadState>();
   /** Groups whose head was reported to have left, which is logged once. */
   const leftKeys = new Set<string>();
-  let hasSeenGroups = false;
 
   const isReachable = async (target: fleet.Target): Promise<boolean> => {
     const result = await orders.probe(target, probeTimeoutMs);
@@ -157,19 +152,13 @@
     return nowMs - sinceMs >= unknownHeadTimeoutMs;
   };
 
-  /** Heads are ordered to open only after they are listed, so a head that never joined has never opened. */
-  const hasHeadNeverJoined = (groupKey: string): boolean => {
-    const atMs = heads.get(groupKey)?.appearedAtMs;
-    return atMs !== undefined && clock.monotonicMs() - atMs >= headJoinTimeoutMs;
-  };
-
   /** Finds out from the list whether the head has left, and how that shows. */
   const findDeparture = (
     { key, name, epoch }: fleet.Group,
     listed: ReadonlyMap<string, fleet.Target>,
   ): string | undefined => {
     const target = heads.get(key)?.target;
-    if (target === undefined) return hasHeadNeverJoined(key) ? 'never listed' : undefined;
+    if (target === undefined) return undefined;
     const now = listed.get(target.id);
     if (now === undefined) return undefined;
     if (now.startedAtMs !== target.startedAtMs) return 'another run is listed';
@@ -184,7 +173,6 @@
       groups.forEach(({ key, head }) => {
         const known = heads.get(key) ?? {
           target: undefined,
-          appearedAtMs: hasSeenGroups ? nowMs : undefined,
           missingSinceMs: undefined,
           checkedAtMs: -Infinity,
           isChecking: false,
@@ -198,7 +186,6 @@
           headListedAtMs: head === undefined ? known.headListedAtMs : nowMs,
         });
       });
-      hasSeenGroups ||= groups.length > 0;
       heads.forEach(({ listedAtMs }, key) => {
         if (nowMs - listedAtMs <= retentionMs) return;
         heads.delete(key);
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -40,6 +40,8 @@
    * can still move a member to a later group.
    */
   readonly mayOpen: (group: fleet.Group) => boolean;
+  /** Reports whether this controller formed the group and has never ordered its head to open. */
+  readonly isNeverOpened: (group: KeyedGroup) => boolean;
   /**
    * Reports whether the head may be open, or may still be opened by a delayed order; always true for a group
    * that this controller has not formed.
@@ -86,6 +88,7 @@
   const pendingStagings = new Map<string, PendingOrder & { readonly modelName: string }>();
   const pendingFormations = new Map<string, PendingFormation>();
   const formedKeys = new Set<string>();
+  const openedKeys = new Set<string>();
   /** Groups that may be open, or may still be opened by a delayed order. */
   const openStates = new Map<string, 'ordered' | 'open' | 'unanswered'>();
   const closeModes = new Map<string, CloseMode>();
@@ -125,6 +128,7 @@
       else if (epoch >= before) unansweredEpochs.delete(key);
     },
     recordOpen: ({ key }) => {
+      openedKeys.add(key);
       openStates.set(key, 'ordered');
     },
     recordOpenResponse: ({ key }, response) => {
@@ -189,6 +193,7 @@
       formedKeys.has(key) &&
       !closeModes.has(key) &&
       members.every((member) => (unansweredEpochs.get(fleet.runKeyOf(member)) ?? 0) <= epoch),
+    isNeverOpened: ({ key }) => formedKeys.has(key) && !openedKeys.has(key),
     mayBeOpening: ({ key }) => !formedKeys.has(key) || openStates.has(key),
   };
 };
--- a/packages/formation/src/evaluateGroup.ts
+++ b/packages/formation/src/evaluateGroup.ts
@@ -31,7 +31,7 @@
   readonly isSurelyLost: (target: fleet.Target) => boolean;
   /** Reports whether this controller has told the head of a group to finish its work. */
   readonly isFinishing: (group: fleet.Group) => boolean;
-  /** Reports whether the head has restarted, is in another group or in none, or never joined. */
+  /** Reports whether the head has restarted, is in another group or in none, or was never ordered to open. */
   readonly hasHeadLeft: (group: fleet.Group) => boolean;
   /** Reports whether no daemon can reach the head of a group. */
   readonly isHeadGone: (group: fleet.Group) => boolean;
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -149,9 +149,9 @@
   assert.not(await checkHead('lives', ['silent', 'silent']));
 });
 
-test('detects from the list that a head has restarted or left the group', () => {
-  const check = createHeadCheck({
-    clock: clocks.createManualClock(10_000),
+const createLonelyCheck = (clock = clocks.createManualClock(10_000)) =>
+  createHeadCheck({
+    clock,
     log,
     orders: createOrders(() => 'silent'),
     calls: testing.createFakeNetwork().join('self'),
@@ -159,6 +159,21 @@
     onReached: () => {},
     onChange: () => {},
   });
+
+// Guards against members that are taken from a serving group whose head has dropped out of the list.
+test('takes a head that was never listed neither for gone nor for one that never joined', () => {
+  const clock = clocks.createManualClock(10_000);
+  const check = createLonelyCheck(clock);
+  check.recordHeads([group]);
+  const unlisted = { ...group, key: 'draft.2@2', name: 'draft.2', epoch: 2, head: undefined };
+  check.recordHeads([group, unlisted]);
+  clock.advance(4_000);
+  assert.not(check.hasLeft(unlisted, new Map()));
+  assert.not(check.isGone(unlisted));
+});
+
+test('detects from the list that a head has restarted or left the group', () => {
+  const check = createLonelyCheck();
   check.recordHeads([group]);
   const listed = (change: Partial<fleet.Target>) => new Map([['a', { ...target('a'), ...change }]]);
   assert.not(check.hasLeft(group, listed({})));
