A head is gone only if it has ended, or is out of reach for longer than a sound one is silent

What callers saw: cut streams, as members of a group that served were ordered into another one.

Cause: a head that isn't listed was taken for gone for good after one round of probes of 200 ms that no daemon got an answer to. Sound targets are silent for a second now and then, and daemons that share busy processors miss 200 ms without any silence.

Change: a head is gone if its process has ended (another run answers, or all daemons that were asked are refused), or if the checks of 1.5 s in a row reached it from nowhere. It is checked on while it is gone, so that an answer takes the finding back; a listed head is checked from its first silence on, so that the two waits run side by side. Probes of peers tell what they found; those of earlier builds only whether they reached the head.

The test 'considers a head gone only when no daemon reaches it' asked for a head that is gone after one silent round: it now asks for the same after 2.2 s, and new ones for a head that is silent for a second or has ended. The former fails with the code before ('considers a head that is silent for a second neither gone nor ended').

--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -3,6 +3,7 @@
 import type * as peers from '@comfreydrum/peers';
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
+import { maxSoundSilenceMs } from './maxSoundSilenceMs';
 import type { TargetOrders } from './TargetOrders';
 
 /**
@@ -12,8 +13,13 @@
 export interface HeadCheck {
   /** Records the heads of the listed groups. */
   readonly recordHeads: (groups: readonly fleet.Group[]) => void;
-  /** Reports whether no daemon can reach the head, and starts a check of it in the background if one is due. */
+  /**
+   * Reports whether the process of the head has ended, or no daemon has reached it for longer than a sound one is silent.
+   * Starts a check of it in the background if one is due.
+   */
   readonly isGone: (group: fleet.Group) => boolean;
+  /** Reports whether the process of the head of a group is known to have ended, rather than being out of reach. */
+  readonly hasEnded: (groupKey: string) => boolean;
   /** Reports whether, according to the list, the head has left the group or has restarted. */
   readonly hasLeft: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
 }
@@ -42,9 +48,16 @@
   readonly headListedAtMs: number;
   readonly checkedAtMs: number;
   readonly isChecking: boolean;
-  readonly gone: boolean;
+  /** When the first check in a row began in which no daemon reached the head. */
+  readonly unreachedSinceMs: number | undefined;
+  /** When the last one of them ended. */
+  readonly unreachedUntilMs: number;
+  readonly hasEnded: boolean;
 }
 
+/** What a probe of a head found: an answer, that its process has ended, a refused connection, or nothing. */
+type ProbeFinding = 'reached' | 'ended' | 'refused' | 'silent';
+
 const probeMethod = 'formation.probe';
 const probeTimeoutMs = 200;
 const peerCallTimeoutMs = 600;
@@ -62,7 +75,11 @@
   startedAtMs: zod.number(),
   address: zod.string(),
 });
-const probeResponseSchema = zod.object({ reached: zod.boolean() });
+/** Earlier versions tell only whether they have reached the head. */
+const probeResponseSchema = zod.object({
+  reached: zod.boolean(),
+  finding: zod.enum(['reached', 'ended', 'refused', 'silent']).optional(),
+});
 
 /** Builds a target from a probe request, which has only the fields that a probe uses. */
 const toTarget = ({
@@ -83,6 +100,10 @@
   membership: undefined,
 });
 
+/** Returns for how long no daemon has reached the head, as far as checks show. */
+const unreachedMsOf = (head: HeadState | undefined): number =>
+  head?.unreachedSinceMs === undefined ? 0 : head.unreachedUntilMs - head.unreachedSinceMs;
+
 /** Creates a check without known heads, and handles the probe requests of other daemons. */
 export const createHeadCheck = (options: HeadCheckOptions): HeadCheck => {
   const { clock, log, orders, calls } = options;
@@ -90,23 +111,29 @@
   /** Groups whose head was reported to have left, which is logged once. */
   const leftKeys = new Set<string>();
 
-  const isReachable = async (target: fleet.Target): Promise<boolean> => {
+  const probe = async (target: fleet.Target): Promise<ProbeFinding> => {
     const result = await orders.probe(target, probeTimeoutMs);
-    return result.ok && result.value.startedAtMs === target.startedAtMs;
+    if (!result.ok) return result.error.kind;
+    return result.value.startedAtMs === target.startedAtMs ? 'reached' : 'ended';
   };
 
   calls.handle(probeMethod, async (params) => {
     const checked = probeRequestSchema.safeParse(params);
     if (!checked.success) throw new Error('params: expected id, startedAtMs and address');
-    return { reached: await isReachable(toTarget(checked.data)) };
+    const finding = await probe(toTarget(checked.data));
+    return { reached: finding === 'reached', finding };
   });
 
-  const probeFromPeer = async (address: string, target: fleet.Target) => {
+  const probeFromPeer = async (
+    address: string,
+    target: fleet.Target,
+  ): Promise<ProbeFinding | undefined> => {
     const { id, startedAtMs, address: targetAddress } = target;
     const request = { id, startedAtMs, address: targetAddress };
     const result = await calls.call(address, probeMethod, request, peerCallTimeoutMs);
     const checked = result.ok ? probeResponseSchema.safeParse(result.value) : undefined;
-    return checked?.success ? checked.data.reached : undefined;
+    if (!checked?.success) return undefined;
+    return checked.data.finding ?? (checked.data.reached ? 'reached' : 'silent');
   };
 
   const update = (groupKey: string, change: Partial<HeadState>) => {
@@ -114,34 +141,59 @@
     if (head !== undefined) heads.set(groupKey, { ...head, ...change });
   };
 
+  const isHeadGone = (groupKey: string): boolean => {
+    const head = heads.get(groupKey);
+    return head?.hasEnded === true || unreachedMsOf(head) >= maxSoundSilenceMs;
+  };
+
   const check = async (groupKey: string, target: fleet.Target) => {
     update(groupKey, { isChecking: true });
+    const startedAtMs = clock.monotonicMs();
     const askedPeers = options.peerAddresses().slice(0, maxPeersPerCheck);
-    const [isReachedHere, ...peerResponses] = await Promise.all([
-      isReachable(target),
+    const [ownFinding, ...peerFindings] = await Promise.all([
+      probe(target),
       ...askedPeers.map((address) => probeFromPeer(address, target)),
     ]);
-    const responses = peerResponses.filter((response) => response !== undefined);
-    const isReached = isReachedHere === true || responses.includes(true);
-    const gone = !isReached && responses.length * 2 >= askedPeers.length;
-    update(groupKey, { isChecking: false, checkedAtMs: clock.monotonicMs(), gone });
+    const findings = [ownFinding, ...peerFindings].filter((finding) => finding !== undefined);
+    const answeredCount = findings.length - 1;
+    const isReached = findings.includes('reached');
+    const isUnreached = !isReached && answeredCount * 2 >= askedPeers.length;
+    // A daemon that is cut off from the head may be refused too, so all have to be.
+    const hasEnded =
+      findings.includes('ended') ||
+      (isUnreached && findings.every((finding) => finding === 'refused'));
+    const nowMs = clock.monotonicMs();
+    const before = heads.get(groupKey);
+    update(groupKey, {
+      isChecking: false,
+      checkedAtMs: nowMs,
+      hasEnded,
+      ...(isReached ? { unreachedSinceMs: undefined } : {}),
+      ...(isUnreached
+        ? {
+            unreachedSinceMs: before?.unreachedSinceMs ?? startedAtMs,
+            unreachedUntilMs: nowMs,
+          }
+        : {}),
+    });
+    const gone = isHeadGone(groupKey);
     log.info(
       {
         step: 'head check',
         group: groupKey,
         targetId: target.id,
         peer: target.address,
-        ownReached: isReachedHere,
+        ownFinding,
         askedCount: askedPeers.length,
-        answeredCount: responses.length,
+        answeredCount,
+        hasEnded,
+        unreachedMs: Math.round(unreachedMsOf(heads.get(groupKey))),
+        listedMsAgo: Math.round(nowMs - (before?.headListedAtMs ?? -Infinity)),
         gone,
-        listedMsAgo: Math.round(
-          clock.monotonicMs() - (heads.get(groupKey)?.headListedAtMs ?? -Infinity),
-        ),
       },
-      gone ? 'no daemon can reach the head' : 'the head may still serve',
+      gone ? 'the head is taken for gone' : 'the head may still serve',
     );
-    if (isReachedHere === true) options.onReached(target);
+    if (ownFinding === 'reached') options.onReached(target);
     options.onChange();
   };
 
@@ -176,7 +228,9 @@
           missingSinceMs: undefined,
           checkedAtMs: -Infinity,
           isChecking: false,
-          gone: false,
+          unreachedSinceMs: undefined,
+          unreachedUntilMs: -Infinity,
+          hasEnded: false,
           headListedAtMs: -Infinity,
         };
         heads.set(key, {
@@ -207,11 +261,11 @@
     isGone: ({ key }) => {
       const head = heads.get(key);
       if (head?.target === undefined) return isUnknownHeadGone(key);
-      if (head.gone) return true;
       if (!head.isChecking && clock.monotonicMs() - head.checkedAtMs >= recheckMs) {
         void check(key, head.target);
       }
-      return false;
+      return isHeadGone(key);
     },
+    hasEnded: (groupKey) => heads.get(groupKey)?.hasEnded === true,
   };
 };
--- a/packages/formation/src/createLossDetector.ts
+++ b/packages/formation/src/createLossDetector.ts
@@ -1,6 +1,7 @@
 import type * as clocks from '@comfreydrum/clock';
 import * as fleet from '@comfreydrum/fleet';
 import type * as telemetry from '@comfreydrum/telemetry';
+import { maxSoundSilenceMs } from './maxSoundSilenceMs';
 import type { TargetOrders } from './TargetOrders';
 
 /** Detects lost targets by probes, sooner than their entries disappear from the list. */
@@ -33,8 +34,6 @@
 const responseValidityMs = 400;
 /** Time between probes of a lost target that is still listed. */
 const recheckMs = 2_000;
-/** Sound targets may be silent for a second or so. */
-const maxSoundSilenceMs = 1_500;
 /** Time between probes of a silent target that may be sound. */
 const silentRecheckMs = 250;
 
--- a/packages/formation/src/evaluateGroup.ts
+++ b/packages/formation/src/evaluateGroup.ts
@@ -55,9 +55,11 @@
   }
   if (head === undefined && context.hasHeadLeft(group)) return { kind: 'dissolved' };
   if (head === undefined || isLost(head)) {
+    // Asked in any case, as each question starts a check if one is due.
+    const isGone = context.isHeadGone(group);
     // The members must not be reused while a head that is only silent may still serve.
     const mayServe = head !== undefined && !isSurelyLost(head);
-    return { kind: !mayServe && context.isHeadGone(group) ? 'abandoned' : 'orphaned' };
+    return { kind: !mayServe && isGone ? 'abandoned' : 'orphaned' };
   }
   const headState = head.membership.state;
   const isMemberGone = members.length < groupSize || members.some(isLost);
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -120,8 +120,11 @@
   members: [target('a')],
 } as const;
 
-/** Checks a head with the given probe results of this daemon and of its peers. */
-const checkHead = async (own: Answer, others: readonly Answer[]) => {
+/**
+ * Checks a head again and again for a time, with the given probe results of this daemon and of its peers. Returns whether
+ * the head is taken for gone, and whether its process is known to have ended.
+ */
+const checkHead = async (own: Answer, others: readonly Answer[], durationMs = 0) => {
   const network = testing.createFakeNetwork();
   const clock = clocks.createManualClock(10_000);
   const create = (address: string, answer: Answer, peers: readonly string[]) =>
@@ -138,15 +141,32 @@
   others.forEach((answer, index) => create(addresses[index]!, answer, []));
   const check = create('self', own, addresses);
   check.recordHeads([group]);
-  check.isGone(group);
-  await settle();
-  return check.isGone(group);
+  for (let passedMs = 0; passedMs <= durationMs; passedMs += 100) {
+    check.isGone(group);
+    await settle();
+    clock.advance(100);
+  }
+  return [check.isGone(group), check.hasEnded(group.key)];
 };
 
-test('considers a head gone only when no daemon reaches it', async () => {
-  assert.ok(await checkHead('silent', ['silent', 'refused']));
-  assert.not(await checkHead('silent', ['silent', 'lives']));
-  assert.not(await checkHead('lives', ['silent', 'silent']));
+const longerThanSoundMs = 2_200;
+
+test('considers a head gone only when no daemon reaches it for longer than a sound one is silent', async () => {
+  assert.equal(await checkHead('silent', ['silent', 'refused'], longerThanSoundMs), [true, false]);
+  assert.equal(await checkHead('silent', ['silent', 'lives'], longerThanSoundMs), [false, false]);
+  assert.equal(await checkHead('lives', ['silent', 'silent'], longerThanSoundMs), [false, false]);
+});
+
+// Guards against members that are taken from a serving group because its head missed one round of probes.
+test('considers a head that is silent for a second neither gone nor ended', async () => {
+  assert.equal(await checkHead('silent', ['silent', 'silent']), [false, false]);
+  assert.equal(await checkHead('silent', ['silent', 'refused'], 1_000), [false, false]);
+});
+
+test('considers a head gone at once whose process has ended', async () => {
+  assert.equal(await checkHead('refused', ['refused', 'refused']), [true, true]);
+  assert.equal(await checkHead('silent', ['silent', 'other-run']), [true, true]);
+  assert.equal(await checkHead('refused', ['refused', 'lives']), [false, false]);
 });
 
 const createLonelyCheck = (clock = clocks.createManualClock(10_000)) =>
