--- a/packages/formation/src/confirmMembers.ts
+++ b/packages/formation/src/confirmMembers.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import * as fleet from '@comfreydrum/fleet';
 import type { TargetOrders } from './TargetOrders';
 
@@ -23,6 +24,9 @@
 }
 
 const reportTimeoutMs = 200;
+/** A report may be a few hundred ms older than the list; a target that contradicts the list is asked again within this time. */
+const reportAttempts = 4;
+const reportRetryMs = 100;
 const servingStates: readonly fleet.MembershipState[] = ['open', 'closing'];
 
 const describe = (membership: fleet.GroupMembership | undefined): string =>
@@ -44,23 +48,30 @@
   return `listed group ${describe(listed)}, reported group ${describe(reported)}`;
 };
 
+const confirmMember = async (
+  orders: Pick<TargetOrders, 'probe'>,
+  target: fleet.Target,
+  attemptsLeft = reportAttempts,
+): Promise<ConfirmedMember | UnconfirmedMember> => {
+  const report = await orders.probe(target, reportTimeoutMs);
+  if (!report.ok) return { target, reason: report.error.message, isSilent: true };
+  const { startedAtMs, membership, orderCount } = report.value;
+  if (startedAtMs !== target.startedAtMs) {
+    return { target, reason: 'another run answers', isSilent: false };
+  }
+  const reason = findObstacle(target.membership, membership);
+  if (reason === undefined) return { target, orderCount };
+  if (attemptsLeft <= 1) return { target, reason, isSilent: false };
+  await delay(reportRetryMs);
+  return confirmMember(orders, target, attemptsLeft - 1);
+};
+
 /** Asks the targets of a group to be formed for their state, as the list may lack the latest orders to them. */
 export const confirmMembers = async (
   orders: Pick<TargetOrders, 'probe'>,
   targets: readonly fleet.Target[],
 ): Promise<MemberConfirmation> => {
-  const results = await Promise.all(
-    targets.map(async (target): Promise<ConfirmedMember | UnconfirmedMember> => {
-      const report = await orders.probe(target, reportTimeoutMs);
-      if (!report.ok) return { target, reason: report.error.message, isSilent: true };
-      const { startedAtMs, membership, orderCount } = report.value;
-      if (startedAtMs !== target.startedAtMs) {
-        return { target, reason: 'another run answers', isSilent: false };
-      }
-      const reason = findObstacle(target.membership, membership);
-      return reason === undefined ? { target, orderCount } : { target, reason, isSilent: false };
-    }),
-  );
+  const results = await Promise.all(targets.map((target) => confirmMember(orders, target)));
   return {
     confirmed: results.flatMap((result) => ('reason' in result ? [] : [result])),
     unconfirmed: results.flatMap((result) => ('reason' in result ? [result] : [])),
