--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -65,6 +65,8 @@
 const maxPeersPerCheck = 8;
 /** Minimum time between two checks of a head. */
 const recheckMs = 500;
+/** Checks further apart than this may have missed that the head answered in between. */
+const maxCheckGapMs = 1_500;
 /** Groups that are no longer listed are forgotten after this time. */
 const retentionMs = 60_000;
 /** An unknown head no longer serves after this time: it has left, or its group broke when it lost a member. */
@@ -160,10 +162,13 @@
     const isUnreached = !isReached && answeredCount * 2 >= askedPeers.length;
     // A daemon that is cut off from the head may be refused too, so all have to be.
     const hasEnded =
-      findings.includes('ended') ||
-      (isUnreached && findings.every((finding) => finding === 'refused'));
+      !isReached &&
+      (findings.includes('ended') ||
+        (isUnreached && findings.every((finding) => finding === 'refused')));
     const nowMs = clock.monotonicMs();
     const before = heads.get(groupKey);
+    const isInRow = startedAtMs - (before?.unreachedUntilMs ?? -Infinity) <= maxCheckGapMs;
+    const unreachedSinceMs = isInRow ? before?.unreachedSinceMs : undefined;
     update(groupKey, {
       isChecking: false,
       checkedAtMs: nowMs,
@@ -171,7 +176,7 @@
       ...(isReached ? { unreachedSinceMs: undefined } : {}),
       ...(isUnreached
         ? {
-            unreachedSinceMs: before?.unreachedSinceMs ?? startedAtMs,
+            unreachedSinceMs: unreachedSinceMs ?? startedAtMs,
             unreachedUntilMs: nowMs,
           }
         : {}),
@@ -183,6 +188,7 @@
         group: groupKey,
         targetId: target.id,
         peer: target.address,
+        ownReached: ownFinding === 'reached',
         ownFinding,
         askedCount: askedPeers.length,
         answeredCount,
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -121,10 +121,10 @@
 } as const;
 
 /**
- * Checks a head again and again for a time, with the given probe results of this daemon and of its peers. Returns whether
- * the head is taken for gone, and whether its process is known to have ended.
+ * Checks a head again and again for a time, and once more after a pause, with the given probe results of this daemon and of
+ * its peers. Returns whether the head is taken for gone, and whether its process is known to have ended.
  */
-const checkHead = async (own: Answer, others: readonly Answer[], durationMs = 0) => {
+const checkHead = async (own: Answer, others: readonly Answer[], durationMs = 0, pauseMs = 0) => {
   const network = testing.createFakeNetwork();
   const clock = clocks.createManualClock(10_000);
   const create = (address: string, answer: Answer, peers: readonly string[]) =>
@@ -141,11 +141,16 @@
   others.forEach((answer, index) => create(addresses[index]!, answer, []));
   const check = create('self', own, addresses);
   check.recordHeads([group]);
-  for (let passedMs = 0; passedMs <= durationMs; passedMs += 100) {
+  const ask = async () => {
     check.isGone(group);
     await settle();
+  };
+  for (let passedMs = 0; passedMs <= durationMs; passedMs += 100) {
+    await ask();
     clock.advance(100);
   }
+  clock.advance(pauseMs);
+  await ask();
   return [check.isGone(group), check.hasEnded(group.key)];
 };
 
@@ -161,6 +166,7 @@
 test('considers a head that is silent for a second neither gone nor ended', async () => {
   assert.equal(await checkHead('silent', ['silent', 'silent']), [false, false]);
   assert.equal(await checkHead('silent', ['silent', 'refused'], 1_000), [false, false]);
+  assert.equal(await checkHead('silent', ['silent', 'silent'], 0, 20_000), [false, false]);
 });
 
 test('considers a head gone at once whose process has ended', async () => {
