What a check of a head found holds for a short time, and one daemon alone proves no end

A head that had been silent once counted as out of reach since then, even if it had answered in between, and was gone after one more silent round; a refused connection at the only daemon that was asked counted as its end.

Change: a finding holds for 1.5 s, rounds count together only if they follow each other, a round with too few answers interrupts them, refusals prove the end of a process only at two daemons or more, and the daemons to ask are drawn at random, as neighbours may share the fault.

--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -149,6 +149,7 @@
     log,
     orders,
     calls,
+    random: Math.random,
     peerAddresses: lease.peerAddresses,
     onReached: detector.recordResponse,
     onChange: scheduleStep,
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -18,6 +18,8 @@
    * Starts a check of it in the background if one is due.
    */
   readonly isGone: (group: fleet.Group) => boolean;
+  /** Returns the head of a group as it was first listed. */
+  readonly headOf: (groupKey: string) => fleet.Target | undefined;
   /** Reports whether the process of the head of a group is known to have ended, rather than being out of reach. */
   readonly hasEnded: (groupKey: string) => boolean;
   /** Reports whether, according to the list, the head has left the group or has restarted. */
@@ -30,6 +32,7 @@
   readonly log: telemetry.Log;
   readonly orders: Pick<TargetOrders, 'probe'>;
   readonly calls: peers.PeerCalls;
+  readonly random: () => number;
   /** Returns the addresses of other live daemons. */
   readonly peerAddresses: () => readonly string[];
   /** Called when this daemon has reached a head. */
@@ -65,7 +68,7 @@
 const maxPeersPerCheck = 8;
 /** Minimum time between two checks of a head. */
 const recheckMs = 500;
-/** Checks further apart than this may have missed that the head answered in between. */
+/** What a check found holds no longer than this, as the head may have answered since. */
 const maxCheckGapMs = 1_500;
 /** Groups that are no longer listed are forgotten after this time. */
 const retentionMs = 60_000;
@@ -138,6 +141,13 @@
     return checked.data.finding ?? (checked.data.reached ? 'reached' : 'silent');
   };
 
+  /** Orders addresses at random, as neighbours in the list may share the fault that separates them from a head. */
+  const shuffle = (addresses: readonly string[]): readonly string[] =>
+    addresses
+      .map((address) => ({ address, order: options.random() }))
+      .sort((one, other) => one.order - other.order)
+      .map(({ address }) => address);
+
   const update = (groupKey: string, change: Partial<HeadState>) => {
     const head = heads.get(groupKey);
     if (head !== undefined) heads.set(groupKey, { ...head, ...change });
@@ -145,13 +155,14 @@
 
   const isHeadGone = (groupKey: string): boolean => {
     const head = heads.get(groupKey);
-    return head?.hasEnded === true || unreachedMsOf(head) >= maxSoundSilenceMs;
+    if (head === undefined || clock.monotonicMs() - head.checkedAtMs > maxCheckGapMs) return false;
+    return head.hasEnded || unreachedMsOf(head) >= maxSoundSilenceMs;
   };
 
   const check = async (groupKey: string, target: fleet.Target) => {
     update(groupKey, { isChecking: true });
     const startedAtMs = clock.monotonicMs();
-    const askedPeers = options.peerAddresses().slice(0, maxPeersPerCheck);
+    const askedPeers = shuffle(options.peerAddresses()).slice(0, maxPeersPerCheck);
     const [ownFinding, ...peerFindings] = await Promise.all([
       probe(target),
       ...askedPeers.map((address) => probeFromPeer(address, target)),
@@ -160,11 +171,9 @@
     const answeredCount = findings.length - 1;
     const isReached = findings.includes('reached');
     const isUnreached = !isReached && answeredCount * 2 >= askedPeers.length;
-    // A daemon that is cut off from the head may be refused too, so all have to be.
-    const hasEnded =
-      !isReached &&
-      (findings.includes('ended') ||
-        (isUnreached && findings.every((finding) => finding === 'refused')));
+    // A daemon that is cut off from the head may be refused too, so several have to be.
+    const isRefused = findings.length > 1 && findings.every((finding) => finding === 'refused');
+    const hasEnded = !isReached && (findings.includes('ended') || (isUnreached && isRefused));
     const nowMs = clock.monotonicMs();
     const before = heads.get(groupKey);
     const isInRow = startedAtMs - (before?.unreachedUntilMs ?? -Infinity) <= maxCheckGapMs;
@@ -173,13 +182,8 @@
       isChecking: false,
       checkedAtMs: nowMs,
       hasEnded,
-      ...(isReached ? { unreachedSinceMs: undefined } : {}),
-      ...(isUnreached
-        ? {
-            unreachedSinceMs: unreachedSinceMs ?? startedAtMs,
-            unreachedUntilMs: nowMs,
-          }
-        : {}),
+      unreachedSinceMs: isUnreached ? (unreachedSinceMs ?? startedAtMs) : undefined,
+      unreachedUntilMs: nowMs,
     });
     const gone = isHeadGone(groupKey);
     log.info(
@@ -272,6 +276,7 @@
       }
       return isHeadGone(key);
     },
+    headOf: (groupKey) => heads.get(groupKey)?.target,
     hasEnded: (groupKey) => heads.get(groupKey)?.hasEnded === true,
   };
 };
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -133,6 +133,7 @@
       log,
       orders: createOrders(() => answer),
       calls: network.join(address),
+      random: () => 0.5,
       peerAddresses: () => peers,
       onReached: () => {},
       onChange: () => {},
@@ -175,12 +176,19 @@
   assert.equal(await checkHead('refused', ['refused', 'lives']), [false, false]);
 });
 
-const createLonelyCheck = (clock = clocks.createManualClock(10_000)) =>
+// Guards against a daemon that is cut off from a serving head and takes the refusal for its end.
+test('takes a head for gone, but not for ended, that refuses the only daemon', async () => {
+  assert.equal(await checkHead('refused', []), [false, false]);
+  assert.equal(await checkHead('refused', [], longerThanSoundMs), [true, false]);
+});
+
+const createCheckWithoutPeers = (clock = clocks.createManualClock(10_000)) =>
   createHeadCheck({
     clock,
     log,
     orders: createOrders(() => 'silent'),
     calls: testing.createFakeNetwork().join('self'),
+    random: () => 0.5,
     peerAddresses: () => [],
     onReached: () => {},
     onChange: () => {},
@@ -189,7 +197,7 @@
 // Guards against members that are taken from a serving group whose head has dropped out of the list.
 test('takes a head that was never listed neither for gone nor for one that never joined', () => {
   const clock = clocks.createManualClock(10_000);
-  const check = createLonelyCheck(clock);
+  const check = createCheckWithoutPeers(clock);
   check.recordHeads([group]);
   const unlisted = { ...group, key: 'draft.2@2', name: 'draft.2', epoch: 2, head: undefined };
   check.recordHeads([group, unlisted]);
@@ -199,7 +207,7 @@
 });
 
 test('detects from the list that a head has restarted or left the group', () => {
-  const check = createLonelyCheck();
+  const check = createCheckWithoutPeers();
   check.recordHeads([group]);
   const listed = (change: Partial<fleet.Target>) => new Map([['a', { ...target('a'), ...change }]]);
   assert.not(check.hasLeft(group, listed({})));
