A new holder's list must be newer than the time from which it may act

What callers saw: nothing yet; found in the review. A holder that waits for the one before it (1.9 s) took a list that was read in that time, while the other one might still give orders.

Change: the lease tells from when on it may act, and the list must have been read since then.

Evidence: createFormation 'orders nothing on the basis of a list from before the previous controller had stopped' fails with the time at which the token was first seen (the review: joins 17 ms after it may act, from a list read 850 ms before), and passes.

--- a/packages/formation/src/createFormation.test.ts
+++ b/packages/formation/src/createFormation.test.ts
@@ -47,8 +47,11 @@
 /** Lets a controller whose list shows two free targets act for a while; returns the joins that it orders. */
 const collectJoins = async (
   reportOf: (id: string) => Partial<TargetReport>,
-  listAgeMs: () => number = () => 0,
+  listAgeMs = 0,
+  actsAfterMs = 0,
 ) => {
+  const clock = clocks.createSystemClock();
+  const actsFromMs = clock.monotonicMs() + actsAfterMs;
   const targets = new Map(['m1', 'm2'].map((id) => [id, targetOf(id)]));
   const joins: JoinOrder[] = [];
   const unused = async () => 'accepted' as const;
@@ -77,18 +80,23 @@
     all: () => targets,
     groups: () => [],
     version: () => 1,
-    ageMs: listAgeMs,
+    ageMs: () => listAgeMs,
     isSettled: () => true,
     onChange: () => {},
   };
   const lease = {
-    state: () => ({ kind: 'holder', token: 7, mayAct: true }),
+    state: () => ({
+      kind: 'holder',
+      token: 7,
+      mayAct: clock.monotonicMs() >= actsFromMs,
+      actsFromMs,
+    }),
     daemonCount: () => 1,
     peerAddresses: () => [],
     observerAddresses: () => [],
   };
   const formation = createFormation({
-    clock: clocks.createSystemClock(),
+    clock,
     log: telemetry.createLog({ level: 'silent', instanceId: 'test' }),
     metrics: telemetry.createMetrics(),
     plan: { current: () => plan } as unknown as fleet.PlanTracker,
@@ -123,13 +131,14 @@
 
 // Guards against orders by what the list showed before this daemon became the controller.
 test('orders nothing on the basis of a list from before it became the controller', async () => {
-  assert.equal(
-    await collectJoins(
-      () => ({}),
-      () => 2 * runMs,
-    ),
-    [],
-  );
+  assert.equal(await collectJoins(() => ({}), 2 * runMs), []);
+});
+
+// Guards against orders by a list from while the controller before this one still gave some.
+test('orders nothing on the basis of a list from before the previous controller had stopped', async () => {
+  const actsAfterMs = 0.6 * runMs;
+  assert.equal(await collectJoins(() => ({}), 0.5 * runMs, actsAfterMs), []);
+  assert.ok((await collectJoins(() => ({}), 0.1 * runMs, actsAfterMs)).length > 0);
 });
 
 test.run();
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -125,7 +125,7 @@
   let timer: NodeJS.Timeout | undefined;
   let epochCount = 0;
   let mixToken: number | undefined;
-  let tokenSinceMs = -Infinity;
+  let actsFromMs = -Infinity;
   let actingToken: number | undefined;
   let observedVersion: number | undefined;
   let isScheduled = false;
@@ -291,7 +291,7 @@
             memberIds: members.map(({ id }) => id),
             reason,
             token,
-            tokenAgeMs: Math.round(clock.monotonicMs() - tokenSinceMs),
+            actsForMs: Math.round(clock.monotonicMs() - actsFromMs),
             listAgeMs: Math.round(targets.ageMs()),
             listed: members.map(describeMembership),
           },
@@ -346,10 +346,10 @@
     }
   };
 
-  /** Reports whether the list is recent, and shows what the holder before this one has done. */
-  const isListCurrent = (): boolean => {
+  /** Reports whether the list is recent, and was read after the holder before this one had stopped acting. */
+  const isListCurrent = (actsFromMs: number): boolean => {
     const ageMs = targets.ageMs();
-    return ageMs <= maxListAgeMs && ageMs <= clock.monotonicMs() - tokenSinceMs;
+    return ageMs <= maxListAgeMs && ageMs <= clock.monotonicMs() - actsFromMs;
   };
 
   const planAndExecute = () => {
@@ -359,12 +359,9 @@
     const state = lease.state();
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
-    if (state.token !== mixToken) {
-      mixControl.reset();
-      tokenSinceMs = clock.monotonicMs();
-    }
+    if (state.token !== mixToken) mixControl.reset();
     mixToken = state.token;
-    if (!state.mayAct || !targets.isSettled() || !isListCurrent()) return;
+    if (!state.mayAct || !targets.isSettled() || !isListCurrent(state.actsFromMs)) return;
     if (actingToken !== state.token) {
       const fields = { step: 'lease', token: state.token, listAgeMs: Math.round(targets.ageMs()) };
       log.info(fields, 'the holder begins to act');
@@ -398,6 +395,7 @@
         isBeforeTraffic: options.isBeforeTraffic(),
         isRegistering: registrationWatch.observe(name, ofService.length),
       };
+    actsFromMs = state.actsFromMs;
       const seconds = options.demand?.(name, mixSeconds) ?? [];
       const conversion = mixControl.next(name, input, seconds);
       const next = planFormation({ ...input, conversion });
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -12,7 +12,13 @@
 export type LeaseState =
   | { readonly kind: 'standby'; readonly holderAddress: string | undefined }
   /** `token` increases with each change of the holder. */
-  | { readonly kind: 'holder'; readonly token: number; readonly mayAct: boolean };
+  | {
+      readonly kind: 'holder';
+      readonly token: number;
+      readonly mayAct: boolean;
+      /** Monotonic time from which on no earlier holder acts any more. */
+      readonly actsFromMs: number;
+    };
 
 /** Number of requests in progress, by run of a target. */
 export type TargetLoads = Readonly<Record<string, number>>;
@@ -492,7 +498,8 @@
   return {
     state: () => {
       if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
-      return { kind: 'holder', token, mayAct: isConfirmed() && clock.monotonicMs() >= actsFromMs };
+      const mayAct = isConfirmed() && clock.monotonicMs() >= actsFromMs;
+      return { kind: 'holder', token, mayAct, actsFromMs };
     },
     resign: (reason) => {
       wasOutdated = true;
