Former heads are asked too before their members form another group

What callers saw: nothing yet; found in the review. A member of a group that is taken for over reports the same group as the list, whatever the head does.

Change: the known heads of the groups that the members are listed in are asked for their reports; one that serves holds its members back. A member that was found lost meanwhile isn't ordered to join, and a failure while a group is formed is logged.

Evidence: confirmMembers 'holds back members whose former head serves their group'.

--- a/packages/formation/src/confirmMembers.test.ts
+++ b/packages/formation/src/confirmMembers.test.ts
@@ -89,6 +89,33 @@
   });
 });
 
+// Guards against members that are taken from a group that is taken for over while its head serves.
+test('holds back members whose former head serves their group', async () => {
+  const target = { id: 'm2', startedAtMs: 1, membership: membershipOf(4, 1, 'ready') };
+  const head = { id: 'm1', startedAtMs: 1 } as fleet.Target;
+  const confirmBeside = async (state: fleet.MembershipState) => {
+    const { unconfirmed } = await confirmMembers(
+      {
+        probe: async ({ id }) =>
+          errors.ok({
+            targetId: id,
+            startedAtMs: 1,
+            paceFactor: 1,
+            activeRequests: 0,
+            queuedRequests: 0,
+            membership: id === 'm1' ? membershipOf(4, 0, state) : target.membership,
+            orderCount: 3,
+          }),
+      },
+      [target as fleet.Target],
+      [{ groupKey: 'draft.4@4', target: head }],
+    );
+    return unconfirmed.map(({ reason }) => reason);
+  };
+  assert.equal(await confirmBeside('open'), ['draft.4@4 is open']);
+  assert.equal(await confirmBeside('broken'), []);
+});
+
 test('holds back targets that give no report or have restarted', async () => {
   const { unconfirmed } = await confirm(undefined, undefined);
   assert.equal(
--- a/packages/formation/src/confirmMembers.ts
+++ b/packages/formation/src/confirmMembers.ts
@@ -17,6 +17,12 @@
   readonly isSilent: boolean;
 }
 
+/** The head of a group that a target is listed in and that is taken to be over. */
+export interface FormerHead {
+  readonly groupKey: string;
+  readonly target: fleet.Target;
+}
+
 /** The targets of a group to be formed, by whether they may join it. */
 export interface MemberConfirmation {
   readonly confirmed: readonly ConfirmedMember[];
@@ -34,6 +40,9 @@
     ? 'none'
     : `${fleet.groupKeyOf(membership)} ${membership.rank} ${membership.state}`;
 
+const isServing = (membership: fleet.GroupMembership | undefined): boolean =>
+  membership?.rank === 0 && servingStates.includes(membership.state);
+
 /** Returns why a target may not join a group although the list shows it free, or undefined. */
 const findObstacle = (
   listed: fleet.GroupMembership | undefined,
@@ -43,8 +52,7 @@
     listed === undefined || reported === undefined
       ? listed === reported
       : fleet.groupKeyOf(listed) === fleet.groupKeyOf(reported);
-  const isServing = reported?.rank === 0 && servingStates.includes(reported.state);
-  if (isSame && !isServing) return undefined;
+  if (isSame && !isServing(reported)) return undefined;
   return `listed group ${describe(listed)}, reported group ${describe(reported)}`;
 };
 
@@ -66,14 +74,45 @@
   return confirmMember(orders, target, attemptsLeft - 1);
 };
 
-/** Asks the targets of a group to be formed for their state, as the list may lack the latest orders to them. */
+/** Returns the members of groups whose former head reports that it serves them. */
+const findServedMembers = async (
+  orders: Pick<TargetOrders, 'probe'>,
+  targets: readonly fleet.Target[],
+  formerHeads: readonly FormerHead[],
+): Promise<readonly UnconfirmedMember[]> => {
+  const served = await Promise.all(
+    formerHeads.map(async ({ groupKey, target: head }) => {
+      const report = await orders.probe(head, reportTimeoutMs);
+      const membership = report.ok ? report.value.membership : undefined;
+      if (membership === undefined || !isServing(membership)) return [];
+      if (fleet.groupKeyOf(membership) !== groupKey) return [];
+      return targets
+        .filter((target) => target.membership && fleet.groupKeyOf(target.membership) === groupKey)
+        .map((target) => ({
+          target,
+          reason: `${groupKey} is ${membership.state}`,
+          isSilent: false,
+        }));
+    }),
+  );
+  return served.flat();
+};
+
+/**
+ * Asks the targets of a group to be formed, and the heads of the groups that they were in, for their state, as the list may
+ * lack the latest orders to them. A former head that gives no report is left to the list and to the checks of heads.
+ */
 export const confirmMembers = async (
   orders: Pick<TargetOrders, 'probe'>,
   targets: readonly fleet.Target[],
+  formerHeads: readonly FormerHead[] = [],
 ): Promise<MemberConfirmation> => {
-  const results = await Promise.all(targets.map((target) => confirmMember(orders, target)));
+  const [results, served] = await Promise.all([
+    Promise.all(targets.map((target) => confirmMember(orders, target))),
+    findServedMembers(orders, targets, formerHeads),
+  ]);
   return {
     confirmed: results.flatMap((result) => ('reason' in result ? [] : [result])),
-    unconfirmed: results.flatMap((result) => ('reason' in result ? [result] : [])),
+    unconfirmed: [...results.flatMap((result) => ('reason' in result ? [result] : [])), ...served],
   };
 };
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -6,7 +6,7 @@
 import * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
 import type { Lease } from './createLease';
-import { confirmMembers } from './confirmMembers';
+import { confirmMembers, type FormerHead } from './confirmMembers';
 import { toOrderResponse } from './toOrderResponse';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
@@ -236,6 +236,20 @@
     work = noWork;
   };
 
+  /** Returns the heads of the groups that the members are listed in, as far as they are known and no members themselves. */
+  const findFormerHeads = (members: readonly fleet.Target[]): readonly FormerHead[] => {
+    const memberKeys = new Set(members.map(fleet.runKeyOf));
+    const groupKeys = new Set(
+      members.flatMap(({ membership }) => (membership ? [fleet.groupKeyOf(membership)] : [])),
+    );
+    return [...groupKeys].flatMap((groupKey) => {
+      const target = headCheck.headOf(groupKey);
+      return target === undefined || memberKeys.has(fleet.runKeyOf(target))
+        ? []
+        : [{ groupKey, target }];
+    });
+  };
+
   /** Orders the members to join if their own reports confirm that they are free. */
   const formGroup = async (
     { modelName, members }: Extract<FormationStep, { readonly kind: 'form' }>,
@@ -243,28 +257,40 @@
   ) => {
     const { groupName, epoch, token } = ref;
     const group = { key: fleet.groupKeyOf(ref) };
-    members.forEach(orderTracker.recordOrder);
-    orderTracker.recordForm(group, members);
-    const { confirmed, unconfirmed } = await confirmMembers(orders, members);
+    const reserve = () => {
+      members.forEach(orderTracker.recordOrder);
+      orderTracker.recordForm(group, members);
+    };
+    reserve();
+    const { confirmed, unconfirmed } = await confirmMembers(
+      orders,
+      members,
+      findFormerHeads(members),
+    );
     const state = lease.state();
     const mayAct = state.kind === 'holder' && state.mayAct && state.token === token;
-    if (!mayAct || unconfirmed.length > 0) {
+    const lost = members.filter(detector.isLost);
+    if (!mayAct || unconfirmed.length > 0 || lost.length > 0) {
       orderTracker.recordUnsentForm(group, members);
       unconfirmed.forEach(({ target }) => orderTracker.recordFailure(target));
-      const reasons = unconfirmed.map(({ target, reason }) => `${target.id}: ${reason}`);
+      const reasons = [
+        ...unconfirmed.map(({ target, reason }) => `${target.id}: ${reason}`),
+        ...lost.map(({ id }) => `${id}: considered lost`),
+      ];
       unformedCount.add({ cause: mayAct ? 'members' : 'lease' });
       log.info({ step: 'form', groupName, epoch, mayAct, reasons }, 'group not formed');
+      const silent = unconfirmed.filter(({ isSilent }) => isSilent);
       detector.suspect(
-        unconfirmed.filter(({ isSilent }) => isSilent).map(({ target }) => target),
+        silent.map(({ target }) => target),
         false,
       );
       scheduleStep();
       return;
     }
     const memberIds = members.map(({ id }) => id);
-    orderTracker.recordForm(group, members);
+    // The reports took a part of the time within which the effect of the orders must be listed.
+    reserve();
     confirmed.forEach(({ target, orderCount: expectedOrderCount }) => {
-      orderTracker.recordOrder(target);
       const order = { ...ref, modelName, memberIds, expectedOrderCount };
       sendOrder(target, 'join', { groupName, epoch, expectedOrderCount }, async () => {
         const outcome = await orders.join(target, order);
@@ -297,7 +323,9 @@
           },
           'forming group',
         );
-        void formGroup(next, { token, groupName, epoch });
+        formGroup(next, { token, groupName, epoch }).catch((cause: unknown) =>
+          log.error({ step: 'form', groupName }, errors.describeCause(cause)),
+        );
         return;
       }
       case 'open': {
@@ -367,6 +395,7 @@
       log.info(fields, 'the holder begins to act');
     }
     actingToken = state.token;
+    actsFromMs = state.actsFromMs;
     const listed = targets.all();
     orderTracker.dropSettled(listed);
     detector.tick(listed);
@@ -395,7 +424,6 @@
         isBeforeTraffic: options.isBeforeTraffic(),
         isRegistering: registrationWatch.observe(name, ofService.length),
       };
-    actsFromMs = state.actsFromMs;
       const seconds = options.demand?.(name, mixSeconds) ?? [];
       const conversion = mixControl.next(name, input, seconds);
       const next = planFormation({ ...input, conversion });
