--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -125,7 +125,7 @@
   let timer: NodeJS.Timeout | undefined;
   let epochCount = 0;
   let mixToken: number | undefined;
-  let actsFromMs = -Infinity;
+  let actingSinceMs = -Infinity;
   let actingToken: number | undefined;
   let observedVersion: number | undefined;
   let isScheduled = false;
@@ -317,7 +317,7 @@
             memberIds: members.map(({ id }) => id),
             reason,
             token,
-            actsForMs: Math.round(clock.monotonicMs() - actsFromMs),
+            actsForMs: Math.round(clock.monotonicMs() - actingSinceMs),
             listAgeMs: Math.round(targets.ageMs()),
             listed: members.map(describeMembership),
           },
@@ -395,7 +395,7 @@
       log.info(fields, 'the holder begins to act');
     }
     actingToken = state.token;
-    actsFromMs = state.actsFromMs;
+    actingSinceMs = state.actsFromMs;
     const listed = targets.all();
     orderTracker.dropSettled(listed);
     detector.tick(listed);
