--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -6,6 +6,7 @@
 import * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
 import type { Lease } from './createLease';
+import { confirmMembers, type FormerHead } from './confirmMembers';
 import { toOrderResponse } from './toOrderResponse';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
@@ -17,11 +18,12 @@
 import { createSharedMemberCheck, type SharedMemberCheck } from './createSharedMemberCheck';
 import { createStepPace } from './createStepPace';
 import { createOrderTracker } from './createOrderTracker';
+import { createReleaseTracker } from './createReleaseTracker';
 import { createRegistrationWatch } from './createRegistrationWatch';
 import type { FormationStep } from './FormationStep';
 import { planFormation, type FormationInput } from './planFormation';
 import { summarizeFleet } from './summarizeFleet';
-import type { OrderOutcome, TargetOrders } from './TargetOrders';
+import type { FencedOrder, GroupRef, OrderOutcome, TargetOrders } from './TargetOrders';
 
 /** A target that may be lost, since a request to it failed. */
 export interface Suspicion {
@@ -54,6 +56,8 @@
   readonly calls: peers.PeerCalls;
   /** Address at which other daemons call this one. */
   readonly address: string;
+  /** Time after which a head breaks that lacks a member. */
+  readonly stallMs: number;
   /** Reports whether this daemon has received no request from a caller yet. */
   readonly isBeforeTraffic: () => boolean;
   /** Returns the work that arrived in the fleet in each of the last seconds, the latest first, as far as it is known. */
@@ -103,6 +107,11 @@
     'Orders to targets, by what became of them.',
     ['order', 'outcome'],
   );
+  const unformedCount = options.metrics.counter(
+    'comfreydrum_unformed_groups_total',
+    'Groups that were planned and not formed, as their members or the lease had changed.',
+    ['cause'],
+  );
   const orderTracker = createOrderTracker(clock);
   const registrationWatch = createRegistrationWatch(clock);
   const mixControl = createMixControl({ clock, log, metrics: options.metrics });
@@ -116,7 +125,9 @@
   let timer: NodeJS.Timeout | undefined;
   let epochCount = 0;
   let mixToken: number | undefined;
-  let tokenSinceMs = -Infinity;
+  let actingSinceMs = -Infinity;
+  let actingToken: number | undefined;
+  let observedVersion: number | undefined;
   let isScheduled = false;
   let lastOrderAtMs = -Infinity;
 
@@ -138,11 +149,18 @@
     log,
     orders,
     calls,
+    random: Math.random,
     peerAddresses: lease.peerAddresses,
     onReached: detector.recordResponse,
     onChange: scheduleStep,
   });
 
+  const releaseTracker = createReleaseTracker({
+    clock,
+    stallMs: options.stallMs,
+    hasHeadEnded: headCheck.hasEnded,
+  });
+
   const recordOutcome = (
     target: fleet.Target,
     order: string,
@@ -218,6 +236,70 @@
     work = noWork;
   };
 
+  /** Returns the heads of the groups that the members are listed in, as far as they are known and no members themselves. */
+  const findFormerHeads = (members: readonly fleet.Target[]): readonly FormerHead[] => {
+    const memberKeys = new Set(members.map(fleet.runKeyOf));
+    const groupKeys = new Set(
+      members.flatMap(({ membership }) => (membership ? [fleet.groupKeyOf(membership)] : [])),
+    );
+    return [...groupKeys].flatMap((groupKey) => {
+      const target = headCheck.headOf(groupKey);
+      return target === undefined || memberKeys.has(fleet.runKeyOf(target))
+        ? []
+        : [{ groupKey, target }];
+    });
+  };
+
+  /** Orders the members to join if their own reports confirm that they are free. */
+  const formGroup = async (
+    { modelName, members }: Extract<FormationStep, { readonly kind: 'form' }>,
+    ref: FencedOrder & GroupRef,
+  ) => {
+    const { groupName, epoch, token } = ref;
+    const group = { key: fleet.groupKeyOf(ref) };
+    const reserve = () => {
+      members.forEach(orderTracker.recordOrder);
+      orderTracker.recordForm(group, members);
+    };
+    reserve();
+    const { confirmed, unconfirmed } = await confirmMembers(
+      orders,
+      members,
+      findFormerHeads(members),
+    );
+    const state = lease.state();
+    const mayAct = state.kind === 'holder' && state.mayAct && state.token === token;
+    const lost = members.filter(detector.isLost);
+    if (!mayAct || unconfirmed.length > 0 || lost.length > 0) {
+      orderTracker.recordUnsentForm(group, members);
+      unconfirmed.forEach(({ target }) => orderTracker.recordFailure(target));
+      const reasons = [
+        ...unconfirmed.map(({ target, reason }) => `${target.id}: ${reason}`),
+        ...lost.map(({ id }) => `${id}: considered lost`),
+      ];
+      unformedCount.add({ cause: mayAct ? 'members' : 'lease' });
+      log.info({ step: 'form', groupName, epoch, mayAct, reasons }, 'group not formed');
+      const silent = unconfirmed.filter(({ isSilent }) => isSilent);
+      detector.suspect(
+        silent.map(({ target }) => target),
+        false,
+      );
+      scheduleStep();
+      return;
+    }
+    const memberIds = members.map(({ id }) => id);
+    // The reports took a part of the time within which the effect of the orders must be listed.
+    reserve();
+    confirmed.forEach(({ target, orderCount: expectedOrderCount }) => {
+      const order = { ...ref, modelName, memberIds, expectedOrderCount };
+      sendOrder(target, 'join', { groupName, epoch, expectedOrderCount }, async () => {
+        const outcome = await orders.join(target, order);
+        orderTracker.recordJoinResponse(target, epoch, outcome !== 'unanswered');
+        return outcome;
+      });
+    });
+  };
+
   const executeStep = (next: FormationStep, token: number) => {
     // Staging takes many seconds and nothing waits for it, so the list need not be read more often.
     if (next.kind !== 'stage') lastOrderAtMs = clock.monotonicMs();
@@ -225,33 +307,25 @@
       case 'form': {
         epochCount += 1;
         const epoch = token * epochsPerToken + epochCount;
-        const { modelName, members, reason } = next;
-        const groupName = fleet.formatGroupName(modelName, epoch);
-        const memberIds = members.map(({ id }) => id);
-        const order = { token, groupName, epoch, modelName, memberIds };
+        const { members, reason } = next;
+        const groupName = fleet.formatGroupName(next.modelName, epoch);
         log.info(
           {
             step: 'form',
             groupName,
             epoch,
-            memberIds,
+            memberIds: members.map(({ id }) => id),
             reason,
             token,
-            tokenAgeMs: Math.round(clock.monotonicMs() - tokenSinceMs),
+            actsForMs: Math.round(clock.monotonicMs() - actingSinceMs),
             listAgeMs: Math.round(targets.ageMs()),
             listed: members.map(describeMembership),
           },
           'forming group',
         );
-        orderTracker.recordForm({ key: fleet.groupKeyOf({ groupName, epoch }) }, members);
-        members.forEach((target) => {
-          orderTracker.recordOrder(target);
-          sendOrder(target, 'join', { groupName, epoch }, async () => {
-            const outcome = await orders.join(target, order);
-            orderTracker.recordJoinResponse(target, epoch, outcome !== 'unanswered');
-            return outcome;
-          });
-        });
+        formGroup(next, { token, groupName, epoch }).catch((cause: unknown) =>
+          log.error({ step: 'form', groupName }, errors.describeCause(cause)),
+        );
         return;
       }
       case 'open': {
@@ -300,19 +374,28 @@
     }
   };
 
+  /** Reports whether the list is recent, and was read after the holder before this one had stopped acting. */
+  const isListCurrent = (actsFromMs: number): boolean => {
+    const ageMs = targets.ageMs();
+    return ageMs <= maxListAgeMs && ageMs <= clock.monotonicMs() - actsFromMs;
+  };
+
   const planAndExecute = () => {
     headCheck.recordHeads(targets.groups());
+    if (observedVersion !== targets.version()) releaseTracker.observe(targets.all().values());
+    observedVersion = targets.version();
     const state = lease.state();
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
-    if (!state.mayAct || targets.ageMs() > maxListAgeMs || !targets.isSettled()) return;
-    if (state.token !== mixToken) {
-      mixControl.reset();
-      tokenSinceMs = clock.monotonicMs();
+    if (state.token !== mixToken) mixControl.reset();
+    mixToken = state.token;
+    if (!state.mayAct || !targets.isSettled() || !isListCurrent(state.actsFromMs)) return;
+    if (actingToken !== state.token) {
       const fields = { step: 'lease', token: state.token, listAgeMs: Math.round(targets.ageMs()) };
       log.info(fields, 'the holder begins to act');
     }
-    mixToken = state.token;
+    actingToken = state.token;
+    actingSinceMs = state.actsFromMs;
     const listed = targets.all();
     orderTracker.dropSettled(listed);
     detector.tick(listed);
@@ -327,12 +410,15 @@
         isSurelyLost: detector.isSurelyLost,
         isFinishing: orderTracker.isFinishing,
         isHeadGone: headCheck.isGone,
-        hasHeadLeft: (group) => headCheck.hasLeft(group, listed),
+        hasHeadLeft: (group) =>
+          headCheck.hasLeft(group, listed) ||
+          (isFormedUnder(group, state.token) && orderTracker.isNeverOpened(group)),
         isForming: orderTracker.isForming,
         mayOpen: (group) => isFormedUnder(group, state.token) && orderTracker.mayOpen(group),
         mayBeOpening: (group) =>
           !isFormedUnder(group, state.token) || orderTracker.mayBeOpening(group),
         hasPendingOrder: orderTracker.hasPendingOrder,
+        isHeld: releaseTracker.isHeld,
         stagingModelOf: orderTracker.stagingModelOf,
         modelByDomain: modelsByService.get(name) ?? new Map(),
         isBeforeTraffic: options.isBeforeTraffic(),
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -3,6 +3,7 @@
 import type * as peers from '@comfreydrum/peers';
 import type * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
+import { maxSoundSilenceMs } from './maxSoundSilenceMs';
 import type { TargetOrders } from './TargetOrders';
 
 /**
@@ -12,9 +13,16 @@
 export interface HeadCheck {
   /** Records the heads of the listed groups. */
   readonly recordHeads: (groups: readonly fleet.Group[]) => void;
-  /** Reports whether no daemon can reach the head, and starts a check of it in the background if one is due. */
+  /**
+   * Reports whether the process of the head has ended, or no daemon has reached it for longer than a sound one is silent.
+   * Starts a check of it in the background if one is due.
+   */
   readonly isGone: (group: fleet.Group) => boolean;
-  /** Reports whether, according to the list, the head has left the group, has restarted or never joined. */
+  /** Returns the head of a group as it was first listed. */
+  readonly headOf: (groupKey: string) => fleet.Target | undefined;
+  /** Reports whether the process of the head of a group is known to have ended, rather than being out of reach. */
+  readonly hasEnded: (groupKey: string) => boolean;
+  /** Reports whether, according to the list, the head has left the group or has restarted. */
   readonly hasLeft: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
 }
 
@@ -24,6 +32,7 @@
   readonly log: telemetry.Log;
   readonly orders: Pick<TargetOrders, 'probe'>;
   readonly calls: peers.PeerCalls;
+  readonly random: () => number;
   /** Returns the addresses of other live daemons. */
   readonly peerAddresses: () => readonly string[];
   /** Called when this daemon has reached a head. */
@@ -35,8 +44,6 @@
 interface HeadState {
   /** Undefined until the head is listed. */
   readonly target: fleet.Target | undefined;
-  /** When the group was first listed; undefined for one that was in the first list with groups. */
-  readonly appearedAtMs: number | undefined;
   /** When the first query for a head that was never listed was made; undefined without such a query. */
   readonly missingSinceMs: number | undefined;
   readonly listedAtMs: number;
@@ -44,9 +51,16 @@
   readonly headListedAtMs: number;
   readonly checkedAtMs: number;
   readonly isChecking: boolean;
-  readonly gone: boolean;
+  /** When the first check in a row began in which no daemon reached the head. */
+  readonly unreachedSinceMs: number | undefined;
+  /** When the last one of them ended. */
+  readonly unreachedUntilMs: number;
+  readonly hasEnded: boolean;
 }
 
+/** What a probe of a head found: an answer, that its process has ended, a refused connection, or nothing. */
+type ProbeFinding = 'reached' | 'ended' | 'refused' | 'silent';
+
 const probeMethod = 'formation.probe';
 const probeTimeoutMs = 200;
 const peerCallTimeoutMs = 600;
@@ -54,10 +68,10 @@
 const maxPeersPerCheck = 8;
 /** Minimum time between two checks of a head. */
 const recheckMs = 500;
+/** What a check found holds no longer than this, as the head may have answered since. */
+const maxCheckGapMs = 1_500;
 /** Groups that are no longer listed are forgotten after this time. */
 const retentionMs = 60_000;
-/** The members of a group are listed within this time of each other. */
-const headJoinTimeoutMs = 1_000;
 /** An unknown head no longer serves after this time: it has left, or its group broke when it lost a member. */
 const unknownHeadTimeoutMs = 8_000;
 
@@ -66,7 +80,11 @@
   startedAtMs: zod.number(),
   address: zod.string(),
 });
-const probeResponseSchema = zod.object({ reached: zod.boolean() });
+/** Earlier versions tell only whether they have reached the head. */
+const probeResponseSchema = zod.object({
+  reached: zod.boolean(),
+  finding: zod.enum(['reached', 'ended', 'refused', 'silent']).optional(),
+});
 
 /** Builds a target from a probe request, which has only the fields that a probe uses. */
 const toTarget = ({
@@ -87,66 +105,105 @@
   membership: undefined,
 });
 
+/** Returns for how long no daemon has reached the head, as far as checks show. */
+const unreachedMsOf = (head: HeadState | undefined): number =>
+  head?.unreachedSinceMs === undefined ? 0 : head.unreachedUntilMs - head.unreachedSinceMs;
+
 /** Creates a check without known heads, and handles the probe requests of other daemons. */
 export const createHeadCheck = (options: HeadCheckOptions): HeadCheck => {
   const { clock, log, orders, calls } = options;
   const heads = new Map<string, HeadState>();
   /** Groups whose head was reported to have left, which is logged once. */
   const leftKeys = new Set<string>();
-  let hasSeenGroups = false;
 
-  const isReachable = async (target: fleet.Target): Promise<boolean> => {
+  const probe = async (target: fleet.Target): Promise<ProbeFinding> => {
     const result = await orders.probe(target, probeTimeoutMs);
-    return result.ok && result.value.startedAtMs === target.startedAtMs;
+    if (!result.ok) return result.error.kind;
+    return result.value.startedAtMs === target.startedAtMs ? 'reached' : 'ended';
   };
 
   calls.handle(probeMethod, async (params) => {
     const checked = probeRequestSchema.safeParse(params);
     if (!checked.success) throw new Error('params: expected id, startedAtMs and address');
-    return { reached: await isReachable(toTarget(checked.data)) };
+    const finding = await probe(toTarget(checked.data));
+    return { reached: finding === 'reached', finding };
   });
 
-  const probeFromPeer = async (address: string, target: fleet.Target) => {
+  const probeFromPeer = async (
+    address: string,
+    target: fleet.Target,
+  ): Promise<ProbeFinding | undefined> => {
     const { id, startedAtMs, address: targetAddress } = target;
     const request = { id, startedAtMs, address: targetAddress };
     const result = await calls.call(address, probeMethod, request, peerCallTimeoutMs);
     const checked = result.ok ? probeResponseSchema.safeParse(result.value) : undefined;
-    return checked?.success ? checked.data.reached : undefined;
+    if (!checked?.success) return undefined;
+    return checked.data.finding ?? (checked.data.reached ? 'reached' : 'silent');
   };
 
+  /** Orders addresses at random, as neighbours in the list may share the fault that separates them from a head. */
+  const shuffle = (addresses: readonly string[]): readonly string[] =>
+    addresses
+      .map((address) => ({ address, order: options.random() }))
+      .sort((one, other) => one.order - other.order)
+      .map(({ address }) => address);
+
   const update = (groupKey: string, change: Partial<HeadState>) => {
     const head = heads.get(groupKey);
     if (head !== undefined) heads.set(groupKey, { ...head, ...change });
   };
 
+  const isHeadGone = (groupKey: string): boolean => {
+    const head = heads.get(groupKey);
+    if (head === undefined || clock.monotonicMs() - head.checkedAtMs > maxCheckGapMs) return false;
+    return head.hasEnded || unreachedMsOf(head) >= maxSoundSilenceMs;
+  };
+
   const check = async (groupKey: string, target: fleet.Target) => {
     update(groupKey, { isChecking: true });
-    const askedPeers = options.peerAddresses().slice(0, maxPeersPerCheck);
-    const [isReachedHere, ...peerResponses] = await Promise.all([
-      isReachable(target),
+    const startedAtMs = clock.monotonicMs();
+    const askedPeers = shuffle(options.peerAddresses()).slice(0, maxPeersPerCheck);
+    const [ownFinding, ...peerFindings] = await Promise.all([
+      probe(target),
       ...askedPeers.map((address) => probeFromPeer(address, target)),
     ]);
-    const responses = peerResponses.filter((response) => response !== undefined);
-    const isReached = isReachedHere === true || responses.includes(true);
-    const gone = !isReached && responses.length * 2 >= askedPeers.length;
-    update(groupKey, { isChecking: false, checkedAtMs: clock.monotonicMs(), gone });
+    const findings = [ownFinding, ...peerFindings].filter((finding) => finding !== undefined);
+    const answeredCount = findings.length - 1;
+    const isReached = findings.includes('reached');
+    const isUnreached = !isReached && answeredCount * 2 >= askedPeers.length;
+    // A daemon that is cut off from the head may be refused too, so several have to be.
+    const isRefused = findings.length > 1 && findings.every((finding) => finding === 'refused');
+    const hasEnded = !isReached && (findings.includes('ended') || (isUnreached && isRefused));
+    const nowMs = clock.monotonicMs();
+    const before = heads.get(groupKey);
+    const isInRow = startedAtMs - (before?.unreachedUntilMs ?? -Infinity) <= maxCheckGapMs;
+    const unreachedSinceMs = isInRow ? before?.unreachedSinceMs : undefined;
+    update(groupKey, {
+      isChecking: false,
+      checkedAtMs: nowMs,
+      hasEnded,
+      unreachedSinceMs: isUnreached ? (unreachedSinceMs ?? startedAtMs) : undefined,
+      unreachedUntilMs: nowMs,
+    });
+    const gone = isHeadGone(groupKey);
     log.info(
       {
         step: 'head check',
         group: groupKey,
         targetId: target.id,
         peer: target.address,
-        ownReached: isReachedHere,
+        ownReached: ownFinding === 'reached',
+        ownFinding,
         askedCount: askedPeers.length,
-        answeredCount: responses.length,
+        answeredCount,
+        hasEnded,
+        unreachedMs: Math.round(unreachedMsOf(heads.get(groupKey))),
+        listedMsAgo: Math.round(nowMs - (before?.headListedAtMs ?? -Infinity)),
         gone,
-        listedMsAgo: Math.round(
-          clock.monotonicMs() - (heads.get(groupKey)?.headListedAtMs ?? -Infinity),
-        ),
       },
-      gone ? 'no daemon can reach the head' : 'the head may still serve',
+      gone ? 'the head is taken for gone' : 'the head may still serve',
     );
-    if (isReachedHere === true) options.onReached(target);
+    if (ownFinding === 'reached') options.onReached(target);
     options.onChange();
   };
 
@@ -157,19 +214,13 @@
     return nowMs - sinceMs >= unknownHeadTimeoutMs;
   };
 
-  /** Heads are ordered to open only after they are listed, so a head that never joined has never opened. */
-  const hasHeadNeverJoined = (groupKey: string): boolean => {
-    const atMs = heads.get(groupKey)?.appearedAtMs;
-    return atMs !== undefined && clock.monotonicMs() - atMs >= headJoinTimeoutMs;
-  };
-
   /** Finds out from the list whether the head has left, and how that shows. */
   const findDeparture = (
     { key, name, epoch }: fleet.Group,
     listed: ReadonlyMap<string, fleet.Target>,
   ): string | undefined => {
     const target = heads.get(key)?.target;
-    if (target === undefined) return hasHeadNeverJoined(key) ? 'never listed' : undefined;
+    if (target === undefined) return undefined;
     const now = listed.get(target.id);
     if (now === undefined) return undefined;
     if (now.startedAtMs !== target.startedAtMs) return 'another run is listed';
@@ -184,11 +235,12 @@
       groups.forEach(({ key, head }) => {
         const known = heads.get(key) ?? {
           target: undefined,
-          appearedAtMs: hasSeenGroups ? nowMs : undefined,
           missingSinceMs: undefined,
           checkedAtMs: -Infinity,
           isChecking: false,
-          gone: false,
+          unreachedSinceMs: undefined,
+          unreachedUntilMs: -Infinity,
+          hasEnded: false,
           headListedAtMs: -Infinity,
         };
         heads.set(key, {
@@ -198,7 +250,6 @@
           headListedAtMs: head === undefined ? known.headListedAtMs : nowMs,
         });
       });
-      hasSeenGroups ||= groups.length > 0;
       heads.forEach(({ listedAtMs }, key) => {
         if (nowMs - listedAtMs <= retentionMs) return;
         heads.delete(key);
@@ -220,11 +271,12 @@
     isGone: ({ key }) => {
       const head = heads.get(key);
       if (head?.target === undefined) return isUnknownHeadGone(key);
-      if (head.gone) return true;
       if (!head.isChecking && clock.monotonicMs() - head.checkedAtMs >= recheckMs) {
         void check(key, head.target);
       }
-      return false;
+      return isHeadGone(key);
     },
+    headOf: (groupKey) => heads.get(groupKey)?.target,
+    hasEnded: (groupKey) => heads.get(groupKey)?.hasEnded === true,
   };
 };
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -8,6 +8,8 @@
   readonly recordOrder: (target: fleet.Target) => void;
   /** Records the orders that form a group. */
   readonly recordForm: (group: KeyedGroup, members: readonly fleet.Target[]) => void;
+  /** Records that the orders of `recordForm` are not sent. */
+  readonly recordUnsentForm: (group: KeyedGroup, members: readonly fleet.Target[]) => void;
   /** Records whether an order to join got a response; one without a response may be executed at any time. */
   readonly recordJoinResponse: (target: fleet.Target, epoch: number, isAnswered: boolean) => void;
   readonly recordOpen: (group: KeyedGroup) => void;
@@ -38,6 +40,8 @@
    * can still move a member to a later group.
    */
   readonly mayOpen: (group: fleet.Group) => boolean;
+  /** Reports whether this controller formed the group and has never ordered its head to open. */
+  readonly isNeverOpened: (group: KeyedGroup) => boolean;
   /**
    * Reports whether the head may be open, or may still be opened by a delayed order; always true for a group
    * that this controller has not formed.
@@ -84,6 +88,7 @@
   const pendingStagings = new Map<string, PendingOrder & { readonly modelName: string }>();
   const pendingFormations = new Map<string, PendingFormation>();
   const formedKeys = new Set<string>();
+  const openedKeys = new Set<string>();
   /** Groups that may be open, or may still be opened by a delayed order. */
   const openStates = new Map<string, 'ordered' | 'open' | 'unanswered'>();
   const closeModes = new Map<string, CloseMode>();
@@ -110,6 +115,11 @@
         expiresAtMs: clock.monotonicMs() + formationTimeoutMs,
       });
     },
+    recordUnsentForm: ({ key }, members) => {
+      formedKeys.delete(key);
+      pendingFormations.delete(key);
+      members.forEach((member) => pendingOrders.delete(fleet.runKeyOf(member)));
+    },
     recordJoinResponse: (target, epoch, isAnswered) => {
       const key = fleet.runKeyOf(target);
       const before = unansweredEpochs.get(key) ?? 0;
@@ -118,6 +128,7 @@
       else if (epoch >= before) unansweredEpochs.delete(key);
     },
     recordOpen: ({ key }) => {
+      openedKeys.add(key);
       openStates.set(key, 'ordered');
     },
     recordOpenResponse: ({ key }, response) => {
@@ -182,6 +193,7 @@
       formedKeys.has(key) &&
       !closeModes.has(key) &&
       members.every((member) => (unansweredEpochs.get(fleet.runKeyOf(member)) ?? 0) <= epoch),
+    isNeverOpened: ({ key }) => formedKeys.has(key) && !openedKeys.has(key),
     mayBeOpening: ({ key }) => !formedKeys.has(key) || openStates.has(key),
   };
 };
--- a/packages/formation/src/evaluateGroup.ts
+++ b/packages/formation/src/evaluateGroup.ts
@@ -31,7 +31,7 @@
   readonly isSurelyLost: (target: fleet.Target) => boolean;
   /** Reports whether this controller has told the head of a group to finish its work. */
   readonly isFinishing: (group: fleet.Group) => boolean;
-  /** Reports whether the head has restarted, is in another group or in none, or never joined. */
+  /** Reports whether the head has restarted, is in another group or in none, or was never ordered to open. */
   readonly hasHeadLeft: (group: fleet.Group) => boolean;
   /** Reports whether no daemon can reach the head of a group. */
   readonly isHeadGone: (group: fleet.Group) => boolean;
@@ -55,9 +55,11 @@
   }
   if (head === undefined && context.hasHeadLeft(group)) return { kind: 'dissolved' };
   if (head === undefined || isLost(head)) {
+    // Asked in any case, as each question starts a check if one is due.
+    const isGone = context.isHeadGone(group);
     // The members must not be reused while a head that is only silent may still serve.
     const mayServe = head !== undefined && !isSurelyLost(head);
-    return { kind: !mayServe && context.isHeadGone(group) ? 'abandoned' : 'orphaned' };
+    return { kind: !mayServe && isGone ? 'abandoned' : 'orphaned' };
   }
   const headState = head.membership.state;
   const isMemberGone = members.length < groupSize || members.some(isLost);
