Revert "Members of a group whose head is out of reach wait until the group has broken"

Rule TWO is about the group that a target is in, and 'leave' takes effect at once: a target that has left is in none. The former members of such a group serve nobody whether they wait or not.

--- a/apps/comfreydrumd/src/relay/createRelayContainer.ts
+++ b/apps/comfreydrumd/src/relay/createRelayContainer.ts
@@ -356,7 +356,6 @@
       lease: resolver.resolve(relayTokens.lease),
       calls: resolver.resolve(relayTokens.calls),
       address: daemonSettings.peers.listen,
-      stallMs: daemonSettings.targets.stallMs,
       isBeforeTraffic: () => !resolver.resolve(relayTokens.relay).hasReceivedRequests(),
       demand: (serviceName, seconds) =>
         resolver.resolve(relayTokens.relay).demandExchange.latestSeconds(serviceName, seconds),
--- a/packages/formation/src/createFormation.test.ts
+++ b/packages/formation/src/createFormation.test.ts
@@ -106,7 +106,6 @@
     lease: lease as unknown as Parameters<typeof createFormation>[0]['lease'],
     calls: testing.createFakeNetwork().join('self'),
     address: 'self',
-    stallMs: 6_000,
     isBeforeTraffic: () => false,
   });
   await formation.component.start?.();
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -18,7 +18,6 @@
 import { createSharedMemberCheck, type SharedMemberCheck } from './createSharedMemberCheck';
 import { createStepPace } from './createStepPace';
 import { createOrderTracker } from './createOrderTracker';
-import { createReleaseTracker } from './createReleaseTracker';
 import { createRegistrationWatch } from './createRegistrationWatch';
 import type { FormationStep } from './FormationStep';
 import { planFormation, type FormationInput } from './planFormation';
@@ -56,8 +55,6 @@
   readonly calls: peers.PeerCalls;
   /** Address at which other daemons call this one. */
   readonly address: string;
-  /** Time after which a head breaks that lacks a member. */
-  readonly stallMs: number;
   /** Reports whether this daemon has received no request from a caller yet. */
   readonly isBeforeTraffic: () => boolean;
   /** Returns the work that arrived in the fleet in each of the last seconds, the latest first, as far as it is known. */
@@ -127,7 +124,6 @@
   let mixToken: number | undefined;
   let actingSinceMs = -Infinity;
   let actingToken: number | undefined;
-  let observedVersion: number | undefined;
   let isScheduled = false;
   let lastOrderAtMs = -Infinity;
 
@@ -155,12 +151,6 @@
     onChange: scheduleStep,
   });
 
-  const releaseTracker = createReleaseTracker({
-    clock,
-    stallMs: options.stallMs,
-    hasHeadEnded: headCheck.hasEnded,
-  });
-
   const recordOutcome = (
     target: fleet.Target,
     order: string,
@@ -382,8 +372,6 @@
 
   const planAndExecute = () => {
     headCheck.recordHeads(targets.groups());
-    if (observedVersion !== targets.version()) releaseTracker.observe(targets.all().values());
-    observedVersion = targets.version();
     const state = lease.state();
     const current = plan.current();
     if (state.kind !== 'holder' || current === undefined) return;
@@ -418,7 +406,6 @@
         mayBeOpening: (group) =>
           !isFormedUnder(group, state.token) || orderTracker.mayBeOpening(group),
         hasPendingOrder: orderTracker.hasPendingOrder,
-        isHeld: releaseTracker.isHeld,
         stagingModelOf: orderTracker.stagingModelOf,
         modelByDomain: modelsByService.get(name) ?? new Map(),
         isBeforeTraffic: options.isBeforeTraffic(),
--- a/packages/formation/src/planFormation.ts
+++ b/packages/formation/src/planFormation.ts
@@ -16,8 +16,6 @@
   readonly isEvacuated?: (failureDomain: string) => boolean;
   /** Reports whether the target has an order whose effect is not listed yet. */
   readonly hasPendingOrder: (target: fleet.Target) => boolean;
-  /** Reports whether the head of the last group of a target may still serve, so that the target can't join another one. */
-  readonly isHeld?: (target: fleet.Target) => boolean;
   /** Returns the model whose weights the target is loading onto its host. */
   readonly stagingModelOf: (target: fleet.Target) => string | undefined;
   /** Model of each fabric domain in the previous plan. */
@@ -134,12 +132,8 @@
       .flatMap(({ group }) => group.members.map(fleet.runKeyOf)),
   );
   const usable = targets.filter((target) => target.state === 'live' && !input.isLost(target));
-  const { isHeld = () => false } = input;
   const free = usable.filter(
-    (target) =>
-      !reservedKeys.has(fleet.runKeyOf(target)) &&
-      !input.hasPendingOrder(target) &&
-      !isHeld(target),
+    (target) => !reservedKeys.has(fleet.runKeyOf(target)) && !input.hasPendingOrder(target),
   );
   const domains = collectDomains(usable);
   const { conversion } = input;
--- a/packages/settings/src/relaySettingsSchema.ts
+++ b/packages/settings/src/relaySettingsSchema.ts
@@ -52,9 +52,6 @@
       drainMs: milliseconds
         .optional()
         .describe('A target that says it is leaving is sent nothing later than this.'),
-      stallMs: milliseconds
-        .default(6_000)
-        .describe('A group that lacks a member stops serving for good after this time.'),
       coldStart: zod
         .strictObject({
           overshoot: zod
