Lease: a late answer doesn't confirm a lease that was denied meanwhile

What callers saw: nothing yet; two daemons could give orders to the same targets for up to 0.8 s.

Cause: a write of the lease counts from the time at which it was asked for, however late its answer is. A daemon whose lease has lapsed meanwhile, or who waits for the answer to the write that acquired it, tells those that check in that it doesn't hold the lease; they take over and act at once. The late answer then let both act.

Change: an answer confirms the lease only if nobody was told so since the write was asked for. Otherwise the lease is written once more, at once, which conflicts if another daemon took over. A lease that lapses while nobody asks needs no such write: whoever takes over without being told waits until it has expired.

--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -28,6 +28,17 @@
   return state.kind === 'holder' ? state.token : 0;
 };
 
+/** Returns the most daemons that could act at the same time within a period. */
+const countActing = async (leases: readonly Lease[], durationMs: number): Promise<number> => {
+  const endAtMs = performance.now() + durationMs;
+  let most = 0;
+  while (performance.now() < endAtMs) {
+    most = Math.max(most, leases.filter(mayAct).length);
+    await delay(5);
+  }
+  return most;
+};
+
 /** Starts daemons in order; the first one holds the lease before the others start. */
 const startDaemons = async (
   addresses: readonly string[],
@@ -281,4 +292,38 @@
   await stop();
 });
 
+// Guards against two daemons that act at the same time, one of them on an answer to what it asked before the other took over.
+test('is not used on a late answer of the store after another daemon was told that it is free', async () => {
+  const { leases, store, stop } = await startDaemons(['a', 'b']);
+  await delay(600);
+  store.delayWriteResponsesOf('a', 1_500);
+  assert.is(await countActing(leases, 3_500), 1);
+  assert.equal(leases.map(mayAct), [false, true]);
+  await stop();
+});
+
+test('is not used on a late answer to the write that acquired it, if another daemon took over meanwhile', async () => {
+  const coresOf = (address: string) => (address === 'c' ? 0.3 : 1);
+  const { leases, store, stop } = await startDaemons(['a', 'b', 'c'], true, coresOf);
+  await waitUntil(() => leases.every((lease) => lease.daemonCount() === 3), 3_000);
+  store.delayWriteResponsesOf('b', 1_500);
+  await leases[0]!.component.stop?.();
+  assert.is(await countActing(leases, 3_000), 1);
+  assert.equal(leases.map(mayAct), [false, false, true]);
+  await stop();
+});
+
+test('is used again after a late answer of the store by a holder whose lease nobody took over', async () => {
+  const { leases, store, stop } = await startDaemons(['a', 'b']);
+  await delay(600);
+  const token = tokenOf(leases[0]!);
+  store.rejectCallsOf('b');
+  store.delayWriteResponsesOf('a', 1_500);
+  assert.ok(await waitUntil(() => !mayAct(leases[0]!), 2_500));
+  store.delayWriteResponsesOf('a', 0);
+  assert.ok(await waitUntil(() => mayAct(leases[0]!), 2_000));
+  assert.equal(leases.map(tokenOf), [token, 0]);
+  await stop();
+});
+
 test.run();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -177,6 +177,8 @@
   /** Whether a target has refused the token of this daemon since it last read the record. */
   let wasOutdated = false;
   let confirmedAt: clocks.Timestamp | undefined;
+  /** Whether a daemon was told, since the last write was asked for, that this one doesn't hold the lease; that one may act at once. */
+  let hasDeniedHolding = false;
   let actsFromMs = 0;
   let failures = { refused: 0, silent: 0 };
   /** The record as it was read when the holder began to be silent. */
@@ -285,6 +287,7 @@
 
   const writeLease = async (holderRunId: string, waitsMs: number): Promise<void> => {
     const askedAt = clocks.readTimestamp(clock);
+    hasDeniedHolding = false;
     const condition = version === undefined ? ('absent' as const) : { version };
     const record = { holderRunId, address, era, tokenOffset };
     const put = await client.put(key, record, condition, 'safety');
@@ -296,7 +299,11 @@
     }
     version = put.value;
     if (holderRunId === '') return;
-    confirmedAt = askedAt;
+    if (hasDeniedHolding) {
+      // Another daemon may have taken over since then, in which case the next write conflicts.
+      log.info({ step: 'lease', token, version }, 'denied holding the lease while it was written');
+      nextActionAtMs = 0;
+    } else confirmedAt = askedAt;
     if (token !== undefined) return;
     token = put.value + tokenOffset;
     holder = { runId, address };
@@ -474,9 +481,11 @@
     if (!checked.success) throw new Error('params: expected address and loads');
     const { address: callerAddress, loads, question, cores = options.cores } = checked.data;
     daemonsById.set(callerId, { address: callerAddress, loads, cores, atMs: clock.monotonicMs() });
+    const mayHold = isHolder() && isConfirmed();
+    if (!mayHold) hasDeniedHolding = true;
     return {
       // A holder with an unconfirmed lease has stopped acting, so the next one may act immediately.
-      holderRunId: isHolder() && isConfirmed() ? runId : '',
+      holderRunId: mayHold ? runId : '',
       daemonCount: countDaemons(),
       maxCores: Math.max(
         options.cores,
--- a/packages/testing/src/platform/createFakeStore.ts
+++ b/packages/testing/src/platform/createFakeStore.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import * as errors from '@comfreydrum/errors';
 import type * as objectStore from '@comfreydrum/object-store';
 
@@ -17,6 +18,8 @@
   /** Loses what was written since the copy, and enters the next era. */
   readonly comeBackFrom: (copy: FakeStoreCopy) => void;
   readonly setDown: (isDown: boolean) => void;
+  /** Executes the writes of one daemon at once, but responds to them after this time. */
+  readonly delayWriteResponsesOf: (address: string, delayMs: number) => void;
   /** Executes the next write but loses the response. */
   readonly loseNextResponse: () => void;
 }
@@ -29,6 +32,7 @@
   let down = false;
   let losesNextResponse = false;
   const rejectedAddresses = new Set<string>();
+  const writeDelaysMs = new Map<string, number>();
 
   const fail = (kind: objectStore.PlatformFailure['kind']) =>
     errors.err<objectStore.PlatformFailure>({
@@ -40,6 +44,22 @@
     });
   const pathOf = ({ kind, name }: objectStore.ObjectKey) => `${kind}/${name}`;
 
+  const put = (
+    key: objectStore.ObjectKey,
+    value: unknown,
+    condition: objectStore.WriteCondition,
+  ): errors.Result<number, objectStore.PlatformFailure> => {
+    const before = objects.get(pathOf(key));
+    const holds =
+      condition === 'absent' ? before === undefined : before?.version === condition.version;
+    if (!holds) return fail('conflict');
+    version += 1;
+    objects.set(pathOf(key), { ...key, version, value });
+    if (!losesNextResponse) return errors.ok(version);
+    losesNextResponse = false;
+    return fail('ambiguous');
+  };
+
   const clientOf = (address: string): objectStore.PlatformClient => ({
     get: async (key) => {
       if (down || rejectedAddresses.has(address)) return fail('unreachable');
@@ -48,15 +68,9 @@
     },
     put: async (key, value, condition) => {
       if (down || rejectedAddresses.has(address)) return fail('unreachable');
-      const before = objects.get(pathOf(key));
-      const holds =
-        condition === 'absent' ? before === undefined : before?.version === condition.version;
-      if (!holds) return fail('conflict');
-      version += 1;
-      objects.set(pathOf(key), { ...key, version, value });
-      if (!losesNextResponse) return errors.ok(version);
-      losesNextResponse = false;
-      return fail('ambiguous');
+      const written = put(key, value, condition);
+      await delay(writeDelaysMs.get(address) ?? 0);
+      return written;
     },
     remove: async () => fail('ambiguous'),
     list: async () => fail('ambiguous'),
@@ -79,6 +93,9 @@
     setDown: (isDown) => {
       down = isDown;
     },
+    delayWriteResponsesOf: (address, delayMs) => {
+      writeDelaysMs.set(address, delayMs);
+    },
     loseNextResponse: () => {
       losesNextResponse = true;
     },
