Lease: an answer that comes after a daemon has given the lease up doesn't bring it back

What callers saw: nothing yet; a daemon in a planned stop could give orders beside the next holder.

Cause: the answer to a renewal that was on its way when the daemon released the lease, or resigned, was taken for that of a write which acquires it. A stopping daemon held the lease again, and acted; one whose token a target had refused acted with a token that was hardly higher, without having read the record.

Change: an answer counts only while the daemon has the token with which it asked, and isn't stopping.

--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -326,4 +326,26 @@
   await stop();
 });
 
+test('is not used on an answer of the store that comes after the holder has stopped', async () => {
+  const { leases, store, stop } = await startDaemons(['a', 'b']);
+  await delay(600);
+  store.delayWriteResponsesOf('a', 700);
+  await delay(1_000);
+  void leases[0]!.component.stop?.();
+  assert.is(await countActing(leases.slice(0, 1), 1_500), 0);
+  assert.ok(mayAct(leases[1]!));
+  await stop();
+});
+
+test('is not used on an answer of the store that comes after the holder has resigned', async () => {
+  const { leases, store, stop } = await startDaemons(['a']);
+  const refusedToken = tokenOf(leases[0]!);
+  store.delayWriteResponsesOf('a', 700);
+  await delay(600);
+  leases[0]!.resign('a target has seen a higher token');
+  assert.ok(await waitUntil(() => mayAct(leases[0]!), 4_000));
+  assert.ok(tokenOf(leases[0]!) > refusedToken + 1_000);
+  await stop();
+});
+
 test.run();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -287,6 +287,7 @@
 
   const writeLease = async (holderRunId: string, waitsMs: number): Promise<void> => {
     const askedAt = clocks.readTimestamp(clock);
+    const askedToken = token;
     hasDeniedHolding = false;
     const condition = version === undefined ? ('absent' as const) : { version };
     const record = { holderRunId, address, era, tokenOffset };
@@ -298,7 +299,8 @@
       return;
     }
     version = put.value;
-    if (holderRunId === '') return;
+    const wasGivenUp = isStopped || token !== askedToken;
+    if (holderRunId === '' || wasGivenUp) return;
     if (hasDeniedHolding) {
       // Another daemon may have taken over since then, in which case the next write conflicts.
       log.info({ step: 'lease', token, version }, 'denied holding the lease while it was written');
