Lease: a daemon that was told that the lease is free asks again once it has it

What callers saw: nothing yet; two daemons could give orders to the same targets for up to 0.8 s.

Cause: a holder whose lease has lapsed says so to a standby, then renews it, and acts; the standby, whose read of the record was slow, takes over what was renewed, and acts at once on what it was told before.

Change: a standby that was told so asks the previous holder once more when it has the lease, as this one can't renew it from then on. It acts at once if that one still says so, or else when its lease has expired. A released lease, a stopped process and an own earlier run need no such question.

--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -348,4 +348,19 @@
   await stop();
 });
 
+test('is not acted on by two daemons when the holder renews it after it was said to be free', async () => {
+  const { leases, store, stop } = await startDaemons(['a', 'b']);
+  await delay(600);
+  store.rejectCallsOf('a');
+  store.delayReadsOf('b', 1_400);
+  assert.ok(await waitUntil(() => !mayAct(leases[0]!), 2_500));
+  // By now, 'b' has been told that the lease is free.
+  await delay(400);
+  store.acceptCallsOf('a');
+  assert.ok(await waitUntil(() => mayAct(leases[0]!), 950), 'the holder renews its lease');
+  assert.is(await countActing(leases, 4_500), 1);
+  assert.equal(leases.map(mayAct), [false, true]);
+  await stop();
+});
+
 test.run();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -98,6 +98,12 @@
   observerAddresses: zod.array(zod.string()).optional(),
 });
 
+/**
+ * Why a standby takes over: the holder has stopped, or said that it doesn't hold the lease, or doesn't answer. One that has
+ * not stopped may renew its lease until it is taken over.
+ */
+type HolderLoss = 'stopped' | 'denied' | 'silent';
+
 const checkInMethod = 'formation.checkIn';
 const tickIntervalMs = 100;
 const checkInTimeoutMs = 400;
@@ -180,6 +186,8 @@
   /** Whether a daemon was told, since the last write was asked for, that this one doesn't hold the lease; that one may act at once. */
   let hasDeniedHolding = false;
   let actsFromMs = 0;
+  /** When the lease of the previous holder has expired. */
+  let previousExpiresAtMs = -Infinity;
   let failures = { refused: 0, silent: 0 };
   /** The record as it was read when the holder began to be silent. */
   let recordAtSilence: { readonly version: number | undefined; readonly atMs: number } | undefined;
@@ -310,10 +318,13 @@
     token = put.value + tokenOffset;
     holder = { runId, address };
     // The entries of targets may be as old as the record.
-    const ownWaitMs = Math.max(waitsMs, passedEras > 0 ? fleet.registrationGraceMs : 0);
-    actsFromMs = clock.monotonicMs() + ownWaitMs;
+    const settlesInMs = passedEras > 0 ? fleet.registrationGraceMs : 0;
+    const nowMs = clock.monotonicMs();
+    actsFromMs = nowMs + settlesInMs;
+    previousExpiresAtMs = nowMs + waitsMs;
     passedEras = 0;
-    log.info({ step: 'lease', token, waitsMs: ownWaitMs, era }, 'acquired the lease');
+    const fields = { step: 'lease', token, waitsMs: Math.max(waitsMs, settlesInMs), era };
+    log.info(fields, 'acquired the lease');
   };
 
   /** Raises the next token above those of holders that the record no longer names. */
@@ -373,20 +384,42 @@
     forgetHolder();
   };
 
+  const sendCheckIn = ({ address: holderAddress, runId: holderRunId }: holderSearch.Holder) =>
+    calls.call(
+      holderAddress,
+      checkInMethod,
+      {
+        address,
+        cores: options.cores,
+        loads: options.ownLoads(),
+        question: options.checkInPayload.createRequest(holderRunId),
+      },
+      isHolderSlow ? patientTimeoutMs : checkInTimeoutMs,
+    );
+
+  /** Asks the previous holder, which can't renew its lease any more, whether it still acts. */
+  const checkPrevious = async (previous: holderSearch.Holder) => {
+    const result = await sendCheckIn(previous);
+    const checked = result.ok ? checkInResponseSchema.safeParse(result.value) : undefined;
+    if (checked?.data === undefined || checked.data.holderRunId === previous.runId) return;
+    log.info({ step: 'lease', token, peer: previous.address }, 'the previous holder has stopped');
+    previousExpiresAtMs = -Infinity;
+  };
+
   /** Takes over the lease, unless another daemon has done so in the meantime. */
-  const takeOver = async (hasHolderStopped: boolean) => {
-    const previousRunId = holder?.runId;
+  const takeOver = async (loss: HolderLoss) => {
+    const previous = holder;
     if (!(await readLease())) {
-      await searchHolder(previousRunId);
+      await searchHolder(previous?.runId);
       return;
     }
-    if (holder !== undefined && holder.runId !== previousRunId) {
+    if (holder !== undefined && holder.runId !== previous?.runId) {
       forgetHolder();
       nextActionAtMs = 0;
       return;
     }
     const isRenewed = recordAtSilence !== undefined && recordAtSilence.version !== version;
-    if (isRenewed && !isHolderSlow && !hasHolderStopped) {
+    if (isRenewed && !isHolderSlow && loss === 'silent') {
       log.info({ step: 'lease', peer: holder?.address, version }, 'the holder is slow');
       forgetFailures();
       isHolderSlow = true;
@@ -394,28 +427,20 @@
     }
     const isOwnEarlierRun = holder?.address === address;
     if (passedEras > 0) raiseTokens(passedEras, 'the store has come back from an older copy');
-    const mayActAtOnce = holder === undefined || hasHolderStopped || isOwnEarlierRun;
+    const mayActAtOnce = holder === undefined || loss === 'stopped' || isOwnEarlierRun;
     await writeLease(runId, mayActAtOnce ? 0 : leaseValidityMs);
+    const mayAsk = loss === 'denied' && previous !== undefined && isHolder();
+    if (mayAsk && !mayActAtOnce) await checkPrevious(previous);
   };
 
   const checkIn = async () => {
     if (holder === undefined || holder.address === address) {
-      await takeOver(true);
+      await takeOver('stopped');
       return;
     }
     const askedHolder = holder;
     const askedAt = clocks.readTimestamp(clock);
-    const result = await calls.call(
-      askedHolder.address,
-      checkInMethod,
-      {
-        address,
-        cores: options.cores,
-        loads: options.ownLoads(),
-        question: options.checkInPayload.createRequest(askedHolder.runId),
-      },
-      isHolderSlow ? patientTimeoutMs : checkInTimeoutMs,
-    );
+    const result = await sendCheckIn(askedHolder);
     if (result.ok) {
       const checked = checkInResponseSchema.safeParse(result.value);
       if (checked.success && checked.data.holderRunId === askedHolder.runId) {
@@ -430,7 +455,7 @@
         return;
       }
       // The daemon at this address is no longer the holder.
-      if (haveOthersPassed()) await takeOver(true);
+      if (haveOthersPassed()) await takeOver('denied');
       return;
     }
     if (result.error.kind === 'unreachable') failures.refused += 1;
@@ -441,7 +466,7 @@
     );
     nextActionAtMs = 0;
     if (failures.refused >= refusedCheckInLimit) {
-      if (haveOthersPassed()) await takeOver(true);
+      if (haveOthersPassed()) await takeOver('stopped');
       return;
     }
     const nowMs = clock.monotonicMs();
@@ -456,7 +481,7 @@
     const silentSinceMs = recordAtSilence?.atMs ?? -Infinity;
     const hasWaited = isHolderSlow || nowMs - silentSinceMs >= renewalPatienceMs;
     const isTakenForGone = hasWaited && failures.refused + failures.silent >= limit;
-    if (isTakenForGone && haveOthersPassed()) await takeOver(false);
+    if (isTakenForGone && haveOthersPassed()) await takeOver('silent');
   };
 
   const tick = async () => {
@@ -503,7 +528,12 @@
   return {
     state: () => {
       if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
-      return { kind: 'holder', token, mayAct: isConfirmed() && clock.monotonicMs() >= actsFromMs };
+      const waitsUntilMs = Math.max(actsFromMs, previousExpiresAtMs);
+      return {
+        kind: 'holder',
+        token,
+        mayAct: isConfirmed() && clock.monotonicMs() >= waitsUntilMs,
+      };
     },
     resign: (reason) => {
       wasOutdated = true;
--- a/packages/testing/src/platform/createFakeStore.ts
+++ b/packages/testing/src/platform/createFakeStore.ts
@@ -13,6 +13,9 @@
   readonly clientOf: (address: string) => objectStore.PlatformClient;
   /** Rejects the calls of one daemon, and continues to serve the others. */
   readonly rejectCallsOf: (address: string) => void;
+  readonly acceptCallsOf: (address: string) => void;
+  /** Executes the reads of one daemon only after this time. */
+  readonly delayReadsOf: (address: string, delayMs: number) => void;
   /** Returns the present content, for `comeBackFrom`. */
   readonly copy: () => FakeStoreCopy;
   /** Loses what was written since the copy, and enters the next era. */
@@ -32,6 +35,7 @@
   let down = false;
   let losesNextResponse = false;
   const rejectedAddresses = new Set<string>();
+  const readDelaysMs = new Map<string, number>();
   const writeDelaysMs = new Map<string, number>();
 
   const fail = (kind: objectStore.PlatformFailure['kind']) =>
@@ -62,6 +66,7 @@
 
   const clientOf = (address: string): objectStore.PlatformClient => ({
     get: async (key) => {
+      await delay(readDelaysMs.get(address) ?? 0);
       if (down || rejectedAddresses.has(address)) return fail('unreachable');
       const object = objects.get(pathOf(key));
       return object === undefined ? fail('not-found') : errors.ok({ ...object, era });
@@ -83,6 +88,12 @@
     rejectCallsOf: (address) => {
       rejectedAddresses.add(address);
     },
+    acceptCallsOf: (address) => {
+      rejectedAddresses.delete(address);
+    },
+    delayReadsOf: (address, delayMs) => {
+      readDelaysMs.set(address, delayMs);
+    },
     copy: () => ({ objects: new Map(objects), version }),
     comeBackFrom: (copy) => {
       objects.clear();
