Lease: a holder is taken for stopped only where its port refuses

What callers saw: nothing yet; two daemons could give orders to the same targets until the one that was replaced renewed its lease, 0.8 s later, or longer if it didn't reach the store.

Cause: a standby takes a holder for stopped after two calls that were never sent, and acts at once. These were not only refused ones: there may be no route to a holder that runs and reaches the store, or its connection may take too long.

Change: calls between daemons tell a refused connection ('refused') from one that was not established ('unreachable'). Only the first proves that the process has ended; with the other, the standby waits until the lease has expired, as for a holder that doesn't answer.

Tests: createPeers asked for 'unreachable' where nothing listens; it asks for 'refused' now, which is the more specific of the two.

By fakes only: not tried with real networks.

--- a/packages/formation/src/createLease.test.ts
+++ b/packages/formation/src/createLease.test.ts
@@ -363,4 +363,13 @@
   await stop();
 });
 
+test('lets a successor act only after a holder that it has no route to has stopped acting', async () => {
+  const { leases, network, stop } = await startDaemons(['a', 'b']);
+  await delay(600);
+  network.cutOff('a');
+  assert.is(await countActing(leases, 7_000), 1);
+  assert.equal(leases.map(mayAct), [false, true]);
+  await stop();
+});
+
 test.run();
--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -458,7 +458,7 @@
       if (haveOthersPassed()) await takeOver('denied');
       return;
     }
-    if (result.error.kind === 'unreachable') failures.refused += 1;
+    if (result.error.kind === 'refused') failures.refused += 1;
     else failures.silent += 1;
     log.info(
       { step: 'check-in', peer: askedHolder.address, kind: result.error.kind, ...failures },
@@ -470,7 +470,7 @@
       return;
     }
     const nowMs = clock.monotonicMs();
-    const isSilent = result.error.kind !== 'unreachable';
+    const isSilent = result.error.kind !== 'refused';
     if (recordAtSilence === undefined && isSilent && (await readLease())) {
       recordAtSilence = { version, atMs: nowMs };
       // The record may name another holder by now.
--- a/packages/peers/src/PeerCalls.ts
+++ b/packages/peers/src/PeerCalls.ts
@@ -3,11 +3,12 @@
 /**
  * Why a call to a peer failed.
  *
- * - `unreachable`: the call was never sent.
+ * - `refused`: no process listens at the address.
+ * - `unreachable`: the call was never sent, as no connection to the address was established.
  * - `timeout`: no valid response arrived; the peer may have handled the call.
  * - `rejected`: the peer returned an error, or a response that is not valid JSON-RPC.
  */
-export type PeerFailure = errors.Failure<'unreachable' | 'timeout' | 'rejected'>;
+export type PeerFailure = errors.Failure<'refused' | 'unreachable' | 'timeout' | 'rejected'>;
 
 /** JSON-RPC calls between daemons. */
 export interface PeerCalls {
--- a/packages/peers/src/createHttpPeerCalls.ts
+++ b/packages/peers/src/createHttpPeerCalls.ts
@@ -56,6 +56,13 @@
   return buffer.bytes();
 };
 
+const failureKindOf = (cause: unknown): PeerFailure['kind'] => {
+  if (!errors.wasNeverSent(cause)) return 'timeout';
+  return cause instanceof Error && 'code' in cause && cause.code === 'ECONNREFUSED'
+    ? 'refused'
+    : 'unreachable';
+};
+
 /** Creates the calls of one daemon; `open` starts the server. */
 export const createHttpPeerCalls = (options: HttpPeerCallsOptions): HttpPeerCalls => {
   const { counters } = options;
@@ -191,8 +198,7 @@
         if (response.error) return fail('rejected', `call ${method}: ${response.error.message}`);
         return errors.ok(response.result as unknown);
       } catch (cause) {
-        const kind = errors.wasNeverSent(cause) ? 'unreachable' : 'timeout';
-        return fail(kind, `call ${method}: ${errors.describeCause(cause)}`);
+        return fail(failureKindOf(cause), `call ${method}: ${errors.describeCause(cause)}`);
       }
     },
     handle: (method, handler) => {
--- a/packages/peers/src/createPeers.test.ts
+++ b/packages/peers/src/createPeers.test.ts
@@ -279,7 +279,7 @@
   assert.is(statesAt(stranger), 'entry-2 live');
 });
 
-test('a call returns its result, or reports a rejection or an unreachable peer', async ({
+test('a call returns its result, or reports a rejection or a peer that is not listening', async ({
   fleet,
 }) => {
   const members = await fleet.startAll(2);
@@ -294,8 +294,8 @@
   const rejected = await call(addressOf(2), 'add', [-1, 2]);
   assert.is(rejected.ok ? '' : rejected.error.kind, 'rejected');
   assert.match(rejected.ok ? '' : rejected.error.message, 'left is negative');
-  const unreachable = await call(`${hostOf(9)}:1`, 'add', [1, 2]);
-  assert.is(unreachable.ok ? '' : unreachable.error.kind, 'unreachable');
+  const refused = await call(`${hostOf(9)}:1`, 'add', [1, 2]);
+  assert.is(refused.ok ? '' : refused.error.kind, 'refused');
 });
 
 test('transfers large bodies unchanged, and rejects one above the limit', async ({ fleet }) => {
--- a/packages/testing/src/peers/createFakeNetwork.ts
+++ b/packages/testing/src/peers/createFakeNetwork.ts
@@ -7,8 +7,10 @@
 /** An in-process network of daemons, each of which can be killed or made unresponsive. */
 export interface FakeNetwork {
   readonly join: (address: string) => peers.PeerCalls;
-  /** Makes calls to the address fail as unreachable. */
+  /** Makes calls to the address fail as refused. */
   readonly kill: (address: string) => void;
+  /** Makes calls to the address fail before they are sent, as if there were no route to it. */
+  readonly cutOff: (address: string) => void;
   /** Makes calls to the address time out. */
   readonly makeUnresponsive: (address: string) => void;
   /** Delays the answers of the address; calls with a shorter timeout fail. */
@@ -18,10 +20,11 @@
 /** Creates a network without daemons. */
 export const createFakeNetwork = (): FakeNetwork => {
   const handlers = new Map<string, Map<string, Handler>>();
+  const cutOff = new Set<string>();
   const silent = new Set<string>();
   const delaysMs = new Map<string, number>();
 
-  const fail = (kind: 'unreachable' | 'timeout', peer: string) =>
+  const fail = (kind: peers.PeerFailure['kind'], peer: string) =>
     errors.err<peers.PeerFailure>({ kind, step: 'call', peer, message: kind });
 
   return {
@@ -34,8 +37,9 @@
         },
         call: async (address, method, params, timeoutMs) => {
           const handler = handlers.get(address)?.get(method);
+          if (cutOff.has(address)) return fail('unreachable', address);
           if (silent.has(address)) return fail('timeout', address);
-          if (handler === undefined) return fail('unreachable', address);
+          if (handler === undefined) return fail('refused', address);
           const delayMs = delaysMs.get(address) ?? 0;
           if (delayMs > 0) await delay(Math.min(delayMs, timeoutMs));
           if (delayMs > timeoutMs) return fail('timeout', address);
@@ -46,6 +50,9 @@
     kill: (address) => {
       handlers.delete(address);
     },
+    cutOff: (address) => {
+      cutOff.add(address);
+    },
     makeUnresponsive: (address) => {
       silent.add(address);
     },
