--- a/packages/formation/src/createLease.ts
+++ b/packages/formation/src/createLease.ts
@@ -104,6 +104,12 @@
   observerAddresses: zod.array(zod.string()).optional(),
 });
 
+/**
+ * Why a standby takes over: the holder has stopped, or said that it doesn't hold the lease, or doesn't answer. One that has
+ * not stopped may renew its lease until it is taken over.
+ */
+type HolderLoss = 'stopped' | 'denied' | 'silent';
+
 const checkInMethod = 'formation.checkIn';
 const tickIntervalMs = 100;
 const checkInTimeoutMs = 400;
@@ -183,7 +189,11 @@
   /** Whether a target has refused the token of this daemon since it last read the record. */
   let wasOutdated = false;
   let confirmedAt: clocks.Timestamp | undefined;
+  /** Whether a daemon was told, since the last write was asked for, that this one doesn't hold the lease; that one may act at once. */
+  let hasDeniedHolding = false;
   let actsFromMs = 0;
+  /** When the lease of the previous holder has expired. */
+  let previousExpiresAtMs = -Infinity;
   let failures = { refused: 0, silent: 0 };
   /** The record as it was read when the holder began to be silent. */
   let recordAtSilence: { readonly version: number | undefined; readonly atMs: number } | undefined;
@@ -291,6 +301,8 @@
 
   const writeLease = async (holderRunId: string, waitsMs: number): Promise<void> => {
     const askedAt = clocks.readTimestamp(clock);
+    const askedToken = token;
+    hasDeniedHolding = false;
     const condition = version === undefined ? ('absent' as const) : { version };
     const record = { holderRunId, address, era, tokenOffset };
     const put = await client.put(key, record, condition, 'safety');
@@ -301,16 +313,24 @@
       return;
     }
     version = put.value;
-    if (holderRunId === '') return;
-    confirmedAt = askedAt;
+    const wasGivenUp = isStopped || token !== askedToken;
+    if (holderRunId === '' || wasGivenUp) return;
+    if (hasDeniedHolding) {
+      // Another daemon may have taken over since then, in which case the next write conflicts.
+      log.info({ step: 'lease', token, version }, 'denied holding the lease while it was written');
+      nextActionAtMs = 0;
+    } else confirmedAt = askedAt;
     if (token !== undefined) return;
     token = put.value + tokenOffset;
     holder = { runId, address };
     // The entries of targets may be as old as the record.
-    const ownWaitMs = Math.max(waitsMs, passedEras > 0 ? fleet.registrationGraceMs : 0);
-    actsFromMs = clock.monotonicMs() + ownWaitMs;
+    const settlesInMs = passedEras > 0 ? fleet.registrationGraceMs : 0;
+    const nowMs = clock.monotonicMs();
+    actsFromMs = nowMs + settlesInMs;
+    previousExpiresAtMs = nowMs + waitsMs;
     passedEras = 0;
-    log.info({ step: 'lease', token, waitsMs: ownWaitMs, era }, 'acquired the lease');
+    const fields = { step: 'lease', token, waitsMs: Math.max(waitsMs, settlesInMs), era };
+    log.info(fields, 'acquired the lease');
   };
 
   /** Raises the next token above those of holders that the record no longer names. */
@@ -370,20 +390,42 @@
     forgetHolder();
   };
 
+  const sendCheckIn = ({ address: holderAddress, runId: holderRunId }: holderSearch.Holder) =>
+    calls.call(
+      holderAddress,
+      checkInMethod,
+      {
+        address,
+        cores: options.cores,
+        loads: options.ownLoads(),
+        question: options.checkInPayload.createRequest(holderRunId),
+      },
+      isHolderSlow ? patientTimeoutMs : checkInTimeoutMs,
+    );
+
+  /** Asks the previous holder, which can't renew its lease any more, whether it still acts. */
+  const checkPrevious = async (previous: holderSearch.Holder) => {
+    const result = await sendCheckIn(previous);
+    const checked = result.ok ? checkInResponseSchema.safeParse(result.value) : undefined;
+    if (checked?.data === undefined || checked.data.holderRunId === previous.runId) return;
+    log.info({ step: 'lease', token, peer: previous.address }, 'the previous holder has stopped');
+    previousExpiresAtMs = -Infinity;
+  };
+
   /** Takes over the lease, unless another daemon has done so in the meantime. */
-  const takeOver = async (hasHolderStopped: boolean) => {
-    const previousRunId = holder?.runId;
+  const takeOver = async (loss: HolderLoss) => {
+    const previous = holder;
     if (!(await readLease())) {
-      await searchHolder(previousRunId);
+      await searchHolder(previous?.runId);
       return;
     }
-    if (holder !== undefined && holder.runId !== previousRunId) {
+    if (holder !== undefined && holder.runId !== previous?.runId) {
       forgetHolder();
       nextActionAtMs = 0;
       return;
     }
     const isRenewed = recordAtSilence !== undefined && recordAtSilence.version !== version;
-    if (isRenewed && !isHolderSlow && !hasHolderStopped) {
+    if (isRenewed && !isHolderSlow && loss === 'silent') {
       log.info({ step: 'lease', peer: holder?.address, version }, 'the holder is slow');
       forgetFailures();
       isHolderSlow = true;
@@ -391,28 +433,20 @@
     }
     const isOwnEarlierRun = holder?.address === address;
     if (passedEras > 0) raiseTokens(passedEras, 'the store has come back from an older copy');
-    const mayActAtOnce = holder === undefined || hasHolderStopped || isOwnEarlierRun;
+    const mayActAtOnce = holder === undefined || loss === 'stopped' || isOwnEarlierRun;
     await writeLease(runId, mayActAtOnce ? 0 : leaseValidityMs);
+    const mayAsk = loss === 'denied' && previous !== undefined && isHolder();
+    if (mayAsk && !mayActAtOnce) await checkPrevious(previous);
   };
 
   const checkIn = async () => {
     if (holder === undefined || holder.address === address) {
-      await takeOver(true);
+      await takeOver('stopped');
       return;
     }
     const askedHolder = holder;
     const askedAt = clocks.readTimestamp(clock);
-    const result = await calls.call(
-      askedHolder.address,
-      checkInMethod,
-      {
-        address,
-        cores: options.cores,
-        loads: options.ownLoads(),
-        question: options.checkInPayload.createRequest(askedHolder.runId),
-      },
-      isHolderSlow ? patientTimeoutMs : checkInTimeoutMs,
-    );
+    const result = await sendCheckIn(askedHolder);
     if (result.ok) {
       const checked = checkInResponseSchema.safeParse(result.value);
       if (checked.success && checked.data.holderRunId === askedHolder.runId) {
@@ -427,10 +461,10 @@
         return;
       }
       // The daemon at this address is no longer the holder.
-      if (haveOthersPassed()) await takeOver(true);
+      if (haveOthersPassed()) await takeOver('denied');
       return;
     }
-    if (result.error.kind === 'unreachable') failures.refused += 1;
+    if (result.error.kind === 'refused') failures.refused += 1;
     else failures.silent += 1;
     log.info(
       { step: 'check-in', peer: askedHolder.address, kind: result.error.kind, ...failures },
@@ -438,11 +472,11 @@
     );
     nextActionAtMs = 0;
     if (failures.refused >= refusedCheckInLimit) {
-      if (haveOthersPassed()) await takeOver(true);
+      if (haveOthersPassed()) await takeOver('stopped');
       return;
     }
     const nowMs = clock.monotonicMs();
-    const isSilent = result.error.kind !== 'unreachable';
+    const isSilent = result.error.kind !== 'refused';
     if (recordAtSilence === undefined && isSilent && (await readLease())) {
       recordAtSilence = { version, atMs: nowMs };
       // The record may name another holder by now.
@@ -453,7 +487,7 @@
     const silentSinceMs = recordAtSilence?.atMs ?? -Infinity;
     const hasWaited = isHolderSlow || nowMs - silentSinceMs >= renewalPatienceMs;
     const isTakenForGone = hasWaited && failures.refused + failures.silent >= limit;
-    if (isTakenForGone && haveOthersPassed()) await takeOver(false);
+    if (isTakenForGone && haveOthersPassed()) await takeOver('silent');
   };
 
   const tick = async () => {
@@ -480,9 +514,11 @@
     if (!checked.success) throw new Error('params: expected address and loads');
     const { address: callerAddress, loads, question, cores = options.cores } = checked.data;
     daemonsById.set(callerId, { address: callerAddress, loads, cores, atMs: clock.monotonicMs() });
+    const mayHold = isHolder() && isConfirmed();
+    if (!mayHold) hasDeniedHolding = true;
     return {
       // A holder with an unconfirmed lease has stopped acting, so the next one may act immediately.
-      holderRunId: isHolder() && isConfirmed() ? runId : '',
+      holderRunId: mayHold ? runId : '',
       daemonCount: countDaemons(),
       maxCores: Math.max(
         options.cores,
@@ -498,8 +534,9 @@
   return {
     state: () => {
       if (token === undefined) return { kind: 'standby', holderAddress: holder?.address };
-      const mayAct = isConfirmed() && clock.monotonicMs() >= actsFromMs;
-      return { kind: 'holder', token, mayAct, actsFromMs };
+      const waitsUntilMs = Math.max(actsFromMs, previousExpiresAtMs);
+      const mayAct = isConfirmed() && clock.monotonicMs() >= waitsUntilMs;
+      return { kind: 'holder', token, mayAct, actsFromMs: waitsUntilMs };
     },
     resign: (reason) => {
       wasOutdated = true;
