Simulation of formation: takeovers with lists from before, and heads that break

The simulated fabric counted a target taken from its group, but not one that had left a group whose head was out of reach and went on; a controller that took over had the latest list at once, and joins had no condition.

The fabric now breaks a head that has lacked a member for the stall time, counts a former member that joins another group before that, gives reports, and counts orders; orders can be lost and targets connected again.

--- a/packages/formation/src/confirmMembers.ts
+++ b/packages/formation/src/confirmMembers.ts
@@ -1,4 +1,5 @@
-import * as fleet from '@comfreydrum/fleet';
+import type * as fleet from '@comfreydrum/fleet';
+import { findObstacle } from './findObstacle';
 import type { TargetOrders } from './TargetOrders';
 
 /** A target whose own report agrees with the list. */
@@ -23,26 +24,6 @@
 }
 
 const reportTimeoutMs = 200;
-const servingStates: readonly fleet.MembershipState[] = ['open', 'closing'];
-
-const describe = (membership: fleet.GroupMembership | undefined): string =>
-  membership === undefined
-    ? 'none'
-    : `${fleet.groupKeyOf(membership)} ${membership.rank} ${membership.state}`;
-
-/** Returns why a target may not join a group although the list shows it free, or undefined. */
-const findObstacle = (
-  listed: fleet.GroupMembership | undefined,
-  reported: fleet.GroupMembership | undefined,
-): string | undefined => {
-  const isSame =
-    listed === undefined || reported === undefined
-      ? listed === reported
-      : fleet.groupKeyOf(listed) === fleet.groupKeyOf(reported);
-  const isServing = reported?.rank === 0 && servingStates.includes(reported.state);
-  if (isSame && !isServing) return undefined;
-  return `listed group ${describe(listed)}, reported group ${describe(reported)}`;
-};
 
 /** Asks the targets of a group to be formed for their state, as the list may lack the latest orders to them. */
 export const confirmMembers = async (
--- a/packages/formation/src/testing/createFakeFabric.ts
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -1,7 +1,10 @@
 import type * as fleet from '@comfreydrum/fleet';
 import type { CloseMode, OrderOutcome } from '../TargetOrders';
 
-/** A violated invariant: a target in two groups, a group opened too early, or too many loads. */
+/**
+ * A violated invariant: a target that joins a group while the head of another one that it is in, or has left, may serve; a group
+ * opened too early; or too many loads.
+ */
 export type Violation = 'two-groups' | 'partial-group' | 'too-many-loads';
 
 interface Work {
@@ -21,6 +24,10 @@
   loaded: string[];
   membership: fleet.GroupMembership | undefined;
   highestEpoch: number;
+  /** Number of orders that began something. */
+  orderCount: number;
+  /** Name of the group that the target is in, or was in last. */
+  lastGroupName: string | undefined;
   /** Names of the groups in which the target has been ready. */
   readonly readyGroups: Set<string>;
   members: readonly string[];
@@ -38,6 +45,15 @@
   readonly listLagMs?: number;
   /** Time until the list drops a dead target. */
   readonly expiryMs?: number;
+  /** Time after which a head breaks that lacks a member. */
+  readonly stallMs?: number;
+}
+
+/** What a target reports when it is asked. */
+export interface FakeReport {
+  readonly startedAtMs: number;
+  readonly membership: fleet.GroupMembership | undefined;
+  readonly orderCount: number;
 }
 
 /** A simulation of targets that join, open and die, in simulated time that the test advances. */
@@ -46,11 +62,17 @@
   readonly kill: (id: string) => void;
   /** Separates a target from every daemon; it continues to serve. */
   readonly disconnect: (id: string) => void;
+  /** Ends the separation of a target. */
+  readonly reconnect: (id: string) => void;
   readonly beginLeaving: (id: string) => void;
   readonly advance: (durationMs: number) => void;
   /** Returns the targets as the list shows them. */
   readonly listed: () => readonly fleet.Target[];
   readonly isReachable: (id: string) => boolean;
+  /** Returns the report of a target; undefined if it can't be reached. */
+  readonly report: (id: string) => FakeReport | undefined;
+  /** Returns the group that a target is in, whether or not it can be reached. */
+  readonly membershipOf: (id: string) => fleet.GroupMembership | undefined;
   readonly join: (
     id: string,
     order: {
@@ -58,6 +80,8 @@
       readonly epoch: number;
       readonly modelName: string;
       readonly memberIds: readonly string[];
+      /** The order is refused if the target has begun another number of orders. */
+      readonly expectedOrderCount?: number | undefined;
     },
   ) => OrderOutcome;
   readonly open: (id: string, groupName: string) => OrderOutcome;
@@ -65,6 +89,8 @@
   readonly delayNextOpen: (delayMs: number) => void;
   /** Leaves the next order to join unanswered, and executes it after the delay. */
   readonly delayNextJoin: (delayMs: number) => void;
+  /** Leaves the next order unanswered, and never executes it. */
+  readonly loseNextOrder: () => void;
   readonly close: (id: string, groupName: string, mode: CloseMode) => OrderOutcome;
   readonly leave: (id: string, groupName: string) => OrderOutcome;
   readonly stage: (id: string, modelName: string) => OrderOutcome;
@@ -83,12 +109,14 @@
 /** The slowest entries of the list lag up to this many times as much as the fastest. */
 const lagSteps = 4;
 const defaultExpiryMs = 3_600;
+const defaultStallMs = 4_000;
 
 /** Creates a fabric without targets. */
 export const createFakeFabric = ({
   engine,
   listLagMs = defaultListLagMs,
   expiryMs = defaultExpiryMs,
+  stallMs = defaultStallMs,
 }: FakeFabricOptions): FakeFabric => {
   const targets = new Map<string, FakeTarget>();
   const violations: Violation[] = [];
@@ -98,6 +126,9 @@
   const lateJoins: { readonly atMs: number; readonly carryOut: () => void }[] = [];
   let nextOpenDelayMs: number | undefined;
   let nextJoinDelayMs: number | undefined;
+  /** Since when the groups of heads have lacked a member. */
+  const standsStillSinceMs = new Map<string, number>();
+  let isNextOrderLost = false;
   let nowMs = 0;
 
   const listLagOf = (id: string): number => {
@@ -114,12 +145,11 @@
 
   const headOf = ({ members }: FakeTarget) => targets.get(members[0] ?? '');
 
-  /** Reports whether the head of a target's group serves, closes, or has begun to open. */
+  /** Reports whether the head of a target's group, or of the one that it was in last, serves, closes, or has begun to open. */
   const isInActiveGroup = (target: FakeTarget): boolean => {
     const head = headOf(target);
-    const own = target.membership;
-    if (own === undefined || head === undefined || !head.alive) return false;
-    if (head.membership?.groupName !== own.groupName) return false;
+    if (target.lastGroupName === undefined || head === undefined || !head.alive) return false;
+    if (head.membership?.groupName !== target.lastGroupName) return false;
     const isOpening = head.work?.kind === 'open';
     return isOpening || ['open', 'closing'].includes(head.membership.state);
   };
@@ -177,12 +207,28 @@
     finish(id, work);
   };
 
+  /** Breaks the heads whose groups have lacked a member for the stall time. */
+  const breakHeads = () =>
+    targets.forEach((head, id) => {
+      const { membership } = head;
+      const serves = membership?.rank === 0 && ['open', 'closing'].includes(membership.state);
+      if (!head.alive || !serves || isWhole(head)) {
+        standsStillSinceMs.delete(id);
+        return;
+      }
+      const sinceMs = standsStillSinceMs.get(id) ?? nowMs;
+      standsStillSinceMs.set(id, sinceMs);
+      if (nowMs - sinceMs < stallMs) return;
+      setState(id, 'broken');
+    });
+
   const runLateOpens = () => {
     while (lateOpens[0] !== undefined && lateOpens[0].atMs <= nowMs) {
       const { id, groupName } = lateOpens.shift()!;
       const target = targets.get(id);
       const { membership } = target ?? {};
       if (target?.alive && membership?.groupName === groupName && membership.state === 'ready') {
+        target.orderCount += 1;
         target.work = { kind: 'open', leftMs: formMs, isLoad: false };
       }
     }
@@ -200,6 +246,7 @@
       advanceWork(id, 'staging', slowdown);
     });
     nowMs += stepMs;
+    breakHeads();
     snapshots.push({ atMs: nowMs, list: snapshot() });
     while (snapshots.length > 1 && snapshots[1]!.atMs <= nowMs - listLagMs * lagSteps)
       snapshots.shift();
@@ -210,11 +257,22 @@
     return target?.alive && !target.isPartitioned ? target : undefined;
   };
 
-  const join: FakeFabric['join'] = (id, { groupName, epoch, modelName, memberIds }) => {
+  /** Returns the target if an order arrives there. */
+  const findForOrder = (id: string): FakeTarget | undefined => {
+    const isLost = isNextOrderLost;
+    isNextOrderLost = false;
+    return isLost ? undefined : findReachable(id);
+  };
+
+  const join: FakeFabric['join'] = (id, order) => {
+    const { groupName, epoch, modelName, memberIds, expectedOrderCount } = order;
     const target = findReachable(id);
     if (target === undefined) return 'unanswered';
     if (epoch < target.highestEpoch) return 'outdated';
-    if (target.membership?.groupName !== groupName && isInActiveGroup(target)) {
+    if (expectedOrderCount !== undefined && expectedOrderCount !== target.orderCount) {
+      return 'conflict';
+    }
+    if (target.lastGroupName !== groupName && isInActiveGroup(target)) {
       violations.push('two-groups');
     }
     const model = modelOf(modelName);
@@ -222,6 +280,8 @@
     const hostMs = target.staged.includes(modelName) ? model.stagedJoinMs : model.loadMs;
     const leftMs = target.loaded.includes(modelName) ? inMemoryJoinMs : hostMs;
     target.highestEpoch = epoch;
+    target.orderCount += 1;
+    target.lastGroupName = groupName;
     target.members = memberIds;
     target.loaded = target.loaded.filter((name) => name === modelName);
     target.membership = {
@@ -245,6 +305,8 @@
         loaded: [],
         membership: undefined,
         highestEpoch: 0,
+        orderCount: 0,
+        lastGroupName: undefined,
         readyGroups: new Set(),
         members: [],
         alive: true,
@@ -265,6 +327,10 @@
       const target = targets.get(id);
       if (target) target.isPartitioned = true;
     },
+    reconnect: (id) => {
+      const target = targets.get(id);
+      if (target) target.isPartitioned = false;
+    },
     beginLeaving: (id) => {
       const target = targets.get(id);
       if (target) target.state = 'leaving';
@@ -288,17 +354,28 @@
       return latest.flatMap(({ id }) => listAt(listLagOf(id)).get(id) ?? []);
     },
     isReachable: (id) => findReachable(id) !== undefined,
+    report: (id) => {
+      const target = findReachable(id);
+      if (target === undefined) return undefined;
+      const { startedAtMs, membership, orderCount } = target;
+      return { startedAtMs, membership, orderCount };
+    },
+    membershipOf: (id) => targets.get(id)?.membership,
+    loseNextOrder: () => {
+      isNextOrderLost = true;
+    },
     delayNextJoin: (delayMs) => {
       nextJoinDelayMs = delayMs;
     },
     join: (id, order) => {
+      if (findForOrder(id) === undefined) return 'unanswered';
       if (nextJoinDelayMs === undefined) return join(id, order);
       lateJoins.push({ atMs: nowMs + nextJoinDelayMs, carryOut: () => join(id, order) });
       nextJoinDelayMs = undefined;
       return 'unanswered';
     },
     open: (id, groupName) => {
-      const target = findReachable(id);
+      const target = findForOrder(id);
       if (target === undefined) return 'unanswered';
       const { membership } = target;
       if (membership?.groupName !== groupName || membership.state !== 'ready') return 'conflict';
@@ -312,6 +389,7 @@
         targets.get(member)?.readyGroups.has(groupName),
       );
       if (!wereReady) violations.push('partial-group');
+      target.orderCount += 1;
       target.work = { kind: 'open', leftMs: formMs, isLoad: false };
       return 'accepted';
     },
@@ -319,26 +397,28 @@
       nextOpenDelayMs = delayMs;
     },
     close: (id, groupName) => {
-      const target = findReachable(id);
+      const target = findForOrder(id);
       if (target === undefined) return 'unanswered';
       if (target.membership?.groupName !== groupName) return 'conflict';
-      target.work = undefined;
+      target.orderCount += 1;
       setState(id, 'closing');
       target.work = { kind: 'join', modelName: target.loaded[0], leftMs: closeMs, isLoad: false };
       return 'accepted';
     },
     leave: (id, groupName) => {
-      const target = findReachable(id);
+      const target = findForOrder(id);
       if (target === undefined) return 'unanswered';
       if (target.membership?.groupName !== groupName) return 'conflict';
+      target.orderCount += 1;
       target.membership = undefined;
       return 'accepted';
     },
     stage: (id, modelName) => {
-      const target = findReachable(id);
+      const target = findForOrder(id);
       if (target === undefined) return 'unanswered';
       if (target.staging !== undefined) return 'conflict';
       const { loadMs } = modelOf(modelName);
+      target.orderCount += 1;
       target.staging = { kind: 'stage', modelName, leftMs: loadMs, isLoad: true };
       return 'accepted';
     },
