Order tracker: a refused second order to open doesn't show that the head isn't open

A head that was open could be taken for one that had never opened, so that the members of its group were used again as soon as one of them seemed lost.

An order is given again if the list doesn't show its effect within 2.5 s, and the list may be 4.5 s old: with the store out of reach, a head that is open is ordered to open once more and refuses (409). The tracker then forgot that it had accepted the first order, and 'mayBeOpening' was false. A refusal now counts only for the first order. The test failed for both answers to the first order.

--- a/packages/formation/src/createOrderTracker.test.ts
+++ b/packages/formation/src/createOrderTracker.test.ts
@@ -47,6 +47,18 @@
   assert.ok(tracker.mayBeOpening(group), 'the order to open may arrive after the order to close');
 });
 
+test('considers a head possibly open if it refuses a second order to open', () => {
+  (['accepted', 'unanswered'] as const).forEach((response) => {
+    const tracker = createOrderTracker(clocks.createManualClock());
+    tracker.recordForm(group, members);
+    tracker.recordOpen(group);
+    tracker.recordOpenResponse(group, response);
+    tracker.recordOpen(group);
+    tracker.recordOpenResponse(group, 'refused');
+    assert.ok(tracker.mayBeOpening(group), `the first order was ${response}`);
+  });
+});
+
 test('reports that a group is being formed until an order fails or times out', () => {
   const clock = clocks.createManualClock();
   const tracker = createOrderTracker(clock);
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -129,11 +129,15 @@
     },
     recordOpen: ({ key }) => {
       openedKeys.add(key);
-      openStates.set(key, 'ordered');
+      if (!openStates.has(key)) openStates.set(key, 'ordered');
     },
     recordOpenResponse: ({ key }, response) => {
-      if (response === 'refused') openStates.delete(key);
-      else openStates.set(key, response === 'accepted' ? 'open' : 'unanswered');
+      if (response !== 'refused') {
+        openStates.set(key, response === 'accepted' ? 'open' : 'unanswered');
+        return;
+      }
+      // A head that an earlier order has opened, or may still open, refuses this one too.
+      if (openStates.get(key) === 'ordered') openStates.delete(key);
     },
     recordClose: ({ key }, mode) => {
       closeModes.set(key, mode);
