Order tracker: no group is opened while one of its members is ordered into another one

A group that seemed to lack a member, and whose members were taken for a new group, could be opened before they got their orders to join, if that member answered again meanwhile: the joins then arrived while the head was opening.

'mayOpen' looked only at joins that had gone unanswered; it now also looks at groups that are being formed. The test failed before.

--- a/packages/formation/src/createOrderTracker.test.ts
+++ b/packages/formation/src/createOrderTracker.test.ts
@@ -59,6 +59,16 @@
   });
 });
 
+test('forbids opening a group while a member is ordered into another one', () => {
+  const tracker = createOrderTracker(clocks.createManualClock());
+  tracker.recordForm(group, members);
+  const other = { key: 'draft.6@6' };
+  tracker.recordForm(other, members.slice(1));
+  assert.not(tracker.mayOpen(group));
+  tracker.recordUnsentForm(other, members.slice(1));
+  assert.ok(tracker.mayOpen(group));
+});
+
 test('reports that a group is being formed until an order fails or times out', () => {
   const clock = clocks.createManualClock();
   const tracker = createOrderTracker(clock);
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -36,8 +36,8 @@
   /** Reports whether the orders to join are so recent that members may not be listed yet. */
   readonly isForming: (group: KeyedGroup) => boolean;
   /**
-   * Reports whether this controller formed the group and has not closed it, and no unanswered order to join
-   * can still move a member to a later group.
+   * Reports whether this controller formed the group and has not closed it, and no order to join that is unanswered or about
+   * to be sent can still move a member to another group.
    */
   readonly mayOpen: (group: fleet.Group) => boolean;
   /** Reports whether this controller formed the group and has never ordered its head to open. */
@@ -100,6 +100,11 @@
       if (memberKeys.includes(targetKey)) pendingFormations.delete(key);
     });
 
+  const isJoiningOther = (ownKey: string, targetKey: string): boolean =>
+    [...pendingFormations].some(
+      ([key, { memberKeys }]) => key !== ownKey && memberKeys.includes(targetKey),
+    );
+
   return {
     recordOrder: (target) => {
       pendingOrders.set(fleet.runKeyOf(target), {
@@ -196,7 +201,10 @@
     mayOpen: ({ key, epoch, members }) =>
       formedKeys.has(key) &&
       !closeModes.has(key) &&
-      members.every((member) => (unansweredEpochs.get(fleet.runKeyOf(member)) ?? 0) <= epoch),
+      members.map(fleet.runKeyOf).every((memberKey) => {
+        const mayJoinLater = (unansweredEpochs.get(memberKey) ?? 0) > epoch;
+        return !mayJoinLater && !isJoiningOther(key, memberKey);
+      }),
     isNeverOpened: ({ key }) => formedKeys.has(key) && !openedKeys.has(key),
     mayBeOpening: ({ key }) => !formedKeys.has(key) || openStates.has(key),
   };
