Head check: an entry from before the head joined the group is no departure

Members could be taken from a group that served, when the store had come back from a copy in which the entry of its head was older and the head did not register again in time.

A head counted as gone from its group with any other run, or any other group, in its entry. Epochs rise with each join and a later run starts later, so an entry with a lower one is from before; the head is then looked for as one that isn't listed. The test failed before. An entry without a group, as a copy from before the first join has it, can't be told from a departure by the list.

--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -213,10 +213,13 @@
     if (target === undefined) return undefined;
     const now = listed.get(target.id);
     if (now === undefined) return undefined;
-    if (now.startedAtMs !== target.startedAtMs) return 'another run is listed';
+    // An entry of an earlier run or epoch is from before the head joined the group.
+    if (now.startedAtMs < target.startedAtMs) return undefined;
+    if (now.startedAtMs > target.startedAtMs) return 'another run is listed';
     if (now.membership === undefined) return 'listed in no group';
     const isMember = now.membership.groupName === name && now.membership.epoch === epoch;
-    return isMember ? undefined : `listed in ${now.membership.groupName}`;
+    if (isMember || now.membership.epoch < epoch) return undefined;
+    return `listed in ${now.membership.groupName}`;
   };
 
   return {
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -202,4 +202,16 @@
   assert.not(check.hasLeft(group, new Map()));
 });
 
+// Guards against members that are taken from a serving group when the store comes back from a copy.
+test('takes no older entry of a head for its departure from the group', () => {
+  const check = createLonelyCheck();
+  check.recordHeads([group]);
+  const hasLeft = (change: Partial<fleet.Target>) =>
+    check.hasLeft(group, new Map([['a', { ...target('a'), ...change }]]));
+  const before = { groupName: 'draft.0', epoch: 0, rank: 0, state: 'ready' } as const;
+  assert.not(hasLeft({ startedAtMs: target('a').startedAtMs - 1 }));
+  assert.not(hasLeft({ membership: before }));
+  assert.ok(hasLeft({ membership: { ...before, groupName: 'draft.2', epoch: 2 } }));
+});
+
 test.run();
