Formation: the heads of former groups are asked too before their members are used again

A group counts as dissolved if the list shows its head in no group, in another state than open, or as broken. Its members then confirm themselves, but know nothing of their head: they report the group that the list shows, and only the head can tell that it serves. Its entry may be older than theirs, after the store came back from a copy or while its own writes are slow.

confirmMembers now asks the heads, as far as they are known, beside the members; one that reports the group as open or closing keeps its members. A head that gives no answer isn't waited for, since one that has left and then ended or is cut off would hold its former members for good: the head check judges those that the list doesn't show to have left. The test failed before.

--- a/packages/formation/src/confirmMembers.test.ts
+++ b/packages/formation/src/confirmMembers.test.ts
@@ -1,9 +1,9 @@
 import * as errors from '@comfreydrum/errors';
-import type * as fleet from '@comfreydrum/fleet';
+import * as fleet from '@comfreydrum/fleet';
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { confirmMembers } from './confirmMembers';
-import type { ProbeFailure, TargetReport } from './TargetOrders';
+import type { ProbeFailure, TargetOrders, TargetReport } from './TargetOrders';
 
 const test = uvu.suite('confirmation of the members of a group to be formed');
 
@@ -35,6 +35,7 @@
             }),
     },
     [target],
+    () => undefined,
   );
   return { orderCounts: confirmed.map(({ orderCount }) => orderCount), unconfirmed };
 };
@@ -74,4 +75,36 @@
   assert.not(await isConfirmed(undefined, { startedAtMs: 2 }));
 });
 
+// Guards against members of a group whose head an old entry shows in no group, while it serves.
+test('holds back members of a group whose head reports that it serves', async () => {
+  const m1 = { id: 'm1', startedAtMs: 1, membership: membershipOf(4, 1, 'ready') } as fleet.Target;
+  const head = { id: 'h1', startedAtMs: 1, membership: undefined } as unknown as fleet.Target;
+  const confirmBeside = async (headReport: Partial<TargetReport> | undefined) => {
+    const probe: TargetOrders['probe'] = async ({ id }) =>
+      id === head.id && headReport === undefined
+        ? errors.err<ProbeFailure>({ kind: 'silent', step: 'probe', peer: id, message: 'silent' })
+        : errors.ok({
+            targetId: id,
+            startedAtMs: 1,
+            paceFactor: 1,
+            activeRequests: 0,
+            queuedRequests: 0,
+            membership: m1.membership,
+            orderCount: 3,
+            ...(id === head.id ? headReport : {}),
+          });
+    const { confirmed } = await confirmMembers({ probe }, [m1], (groupKey) =>
+      groupKey === fleet.groupKeyOf(m1.membership!) ? head : undefined,
+    );
+    return confirmed.length === 1;
+  };
+  assert.not(await confirmBeside({ membership: membershipOf(4, 0, 'open') }));
+  assert.not(await confirmBeside({ membership: membershipOf(4, 0, 'closing') }));
+  assert.ok(await confirmBeside({ membership: membershipOf(4, 0, 'broken') }));
+  assert.ok(await confirmBeside({ membership: membershipOf(5, 0, 'open') }));
+  assert.ok(await confirmBeside({ membership: undefined }));
+  assert.ok(await confirmBeside({ startedAtMs: 2, membership: membershipOf(4, 0, 'open') }));
+  assert.ok(await confirmBeside(undefined), 'a silent head is for the head check to judge');
+});
+
 test.run();
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -244,7 +244,7 @@
     const group = { key: fleet.groupKeyOf(ref) };
     members.forEach(orderTracker.recordOrder);
     orderTracker.recordForm(group, members);
-    const { confirmed, unconfirmed } = await confirmMembers(orders, members);
+    const { confirmed, unconfirmed } = await confirmMembers(orders, members, headCheck.headOf);
     const state = lease.state();
     const mayAct = state.kind === 'holder' && state.mayAct && state.token === token;
     if (!mayAct || unconfirmed.length > 0) {
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -20,6 +20,8 @@
   readonly isGone: (group: fleet.Group) => boolean;
   /** Reports whether the process of the head of a group is known to have ended, rather than being out of reach. */
   readonly hasEnded: (groupKey: string) => boolean;
+  /** Returns the head of a group as it was first listed; undefined if it never was. */
+  readonly headOf: (groupKey: string) => fleet.Target | undefined;
   /** Reports whether, according to the list, the head has left the group or has restarted. */
   readonly hasLeft: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
 }
@@ -269,6 +271,7 @@
       }
       return isHeadGone(key);
     },
+    headOf: (groupKey) => heads.get(groupKey)?.target,
     hasEnded: (groupKey) => heads.get(groupKey)?.hasEnded === true,
   };
 };
--- a/packages/formation/src/findObstacle.ts
+++ b/packages/formation/src/findObstacle.ts
@@ -1,6 +1,5 @@
 import * as fleet from '@comfreydrum/fleet';
-
-const servingStates: readonly fleet.MembershipState[] = ['open', 'closing'];
+import { isServingHead } from './isServingHead';
 
 const describe = (membership: fleet.GroupMembership | undefined): string =>
   membership === undefined
@@ -16,7 +15,7 @@
     listed === undefined || reported === undefined
       ? listed === reported
       : fleet.groupKeyOf(listed) === fleet.groupKeyOf(reported);
-  const isServing = reported?.rank === 0 && servingStates.includes(reported.state);
+  const isServing = reported !== undefined && isServingHead(reported);
   if (isSame && !isServing) return undefined;
   return `listed group ${describe(listed)}, reported group ${describe(reported)}`;
 };
