Simulation of formation: loads that a former holder has begun, and the ceiling of the weight store

A holder counts only the loads that it ordered itself, and nothing in formation uses the number of loads that may start per second. The new test has controllers take over every 0.2 to 3 s, with lists up to 1.5 s old, in a fleet of 60 targets without weights. A new holder asks the same targets first, and those that are loading refuse, which counts as a load for 2.5 s. No change of the product.

--- a/packages/formation/src/takeovers.test.ts
+++ b/packages/formation/src/takeovers.test.ts
@@ -112,6 +112,37 @@
   assert.is(countBrokenUp({ confirmsMembers: false }), 0);
 });
 
+/** Loads that may begin within the window after which the ceiling of the weight store is judged. */
+const maxLoadsInWindow = 4.5 * 5 * 1.1 + 3;
+const loadWindowMs = 5_000;
+
+test('begin no more loads than the weight store allows when they follow each other quickly', () => {
+  const coldEngine = {
+    ...engine,
+    models: engine.models.map((model) => ({ ...model, loadMs: 12_000 })),
+  };
+  [200, 500, 1_000, 2_000, 3_000].forEach((intervalMs) =>
+    [0, 500, 1_500].forEach((ageMs) => {
+      const fabric = createFakeFabric({ engine: coldEngine });
+      ['a', 'b', 'c'].forEach((zone) =>
+        Array.from({ length: 20 }, (_, index) => fabric.add(`${zone}1-${index}`, `${zone}1`, zone)),
+      );
+      const controller = simulateController(fabric, coldEngine);
+      controller.setTraffic(true);
+      for (let passedMs = 0; passedMs < 12_000; passedMs += intervalMs) {
+        controller.takeOver({ ageMs, heldMs: 100 });
+        controller.advance(intervalMs);
+      }
+      const begun = fabric.loadsBegunAtMs;
+      const counts = begun.map(
+        (fromMs) => begun.filter((atMs) => atMs >= fromMs && atMs < fromMs + loadWindowMs).length,
+      );
+      const most = Math.max(...counts);
+      assert.ok(most <= maxLoadsInWindow, `${most} loads, ${intervalMs} ms, ${ageMs} ms`);
+    }),
+  );
+});
+
 test('would take members of heads out of reach if these did not wait', () => {
   assert.ok(play(60, { holdsMembers: false }).failed);
 });
--- a/packages/formation/src/testing/createFakeFabric.ts
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -98,6 +98,8 @@
   readonly servingCount: (modelName: string) => number;
   readonly aliveIds: () => readonly string[];
   readonly violations: readonly Violation[];
+  /** When each load from the weight store began. */
+  readonly loadsBegunAtMs: readonly number[];
   readonly nowMs: () => number;
 }
 
@@ -120,6 +122,7 @@
 }: FakeFabricOptions): FakeFabric => {
   const targets = new Map<string, FakeTarget>();
   const violations: Violation[] = [];
+  const loadsBegunAtMs: number[] = [];
   const snapshots: { readonly atMs: number; readonly list: readonly fleet.Target[] }[] = [];
   const lateOpens: { readonly atMs: number; readonly id: string; readonly groupName: string }[] =
     [];
@@ -291,6 +294,7 @@
       state: 'joining',
     };
     target.work = { kind: 'join', modelName, leftMs, isLoad };
+    if (isLoad) loadsBegunAtMs.push(nowMs);
     return 'accepted';
   };
 
@@ -419,6 +423,7 @@
       if (target.staging !== undefined) return 'conflict';
       const { loadMs } = modelOf(modelName);
       target.orderCount += 1;
+      loadsBegunAtMs.push(nowMs);
       target.staging = { kind: 'stage', modelName, leftMs: loadMs, isLoad: true };
       return 'accepted';
     },
@@ -433,6 +438,7 @@
       ).length,
     aliveIds: () => [...targets.values()].filter(({ alive }) => alive).map(({ id }) => id),
     violations,
+    loadsBegunAtMs,
     nowMs: () => nowMs,
   };
 };
