Target list: no list is taken from another daemon that was confirmed before the store's last answer

Entries could go back to an earlier state, and those of new targets drop out, while the list counted as current: a watch that went on from its last revision did not bring them again until the target changed. A standby that watches the store, gets an answer to a check-in and takes over before its watch ends acted on that.

A list is confirmed as of the request of a watch, up to 2 s before the answer that has a change; lists of other daemons were compared with that time only. They are now compared with the time of the last answer too, within an era of the store. The test failed before.

--- a/packages/fleet/src/createTargetList.test.ts
+++ b/packages/fleet/src/createTargetList.test.ts
@@ -254,6 +254,30 @@
   assert.is(own.cursor(), undefined);
 });
 
+// Guards against entries that go back to an earlier state, and stay there while the list counts as current.
+test('takes no list that was confirmed before the last answer of the store', async () => {
+  const { list, client, clock } = await createList({ list: [stored('a', 1)], version: 1 });
+  clock.advance(1_000);
+  client.add({
+    watch: { version: 4, changed: [stored('a', 3, 'leaving'), stored('b', 4)] },
+  });
+  await waitForUpdates();
+  list.applyShared(
+    {
+      cursor: { listId: 'other', changeCount: 1 },
+      ageMs: 500,
+      isWhole: true,
+      changed: [{ version: 1, target: { id: 'a', state: 'live' } as fleet.Target }],
+      removedIds: [],
+    },
+    clocks.readTimestamp(clock),
+  );
+  client.add({ watch: { version: 4 } });
+  await waitForUpdates();
+  assert.equal(idsOf(list), ['a', 'b']);
+  assert.is(list.all().get('a')?.state, 'leaving');
+});
+
 test('shares the whole list with a daemon of another era', async () => {
   const { list: own } = await createList({ list: many, version: 1_000, era: 1 });
   const { list: holders } = await createList({ list: many, version: 1_000, era: 2 });
--- a/packages/fleet/src/createTargetList.ts
+++ b/packages/fleet/src/createTargetList.ts
@@ -145,6 +145,8 @@
   let followerRun: Promise<void> = Promise.resolve();
   let storeRecoveredAtMs = -Infinity;
   let confirmedAt: clocks.Timestamp | undefined;
+  /** When the store last answered; the list may have changes up to then, while it is confirmed as of the request. */
+  let storeAnsweredAtMs = -Infinity;
   let isFailing = false;
   /** Source of the latest list, for the log. */
   let origin: 'store' | 'daemon' | undefined;
@@ -333,6 +335,7 @@
     random: options.random,
     onSnapshot: (objects, snapshotEra) => {
       recordOutageEnd();
+      storeAnsweredAtMs = clock.monotonicMs();
       enterEra(snapshotEra);
       if (!isLoaded && isFailing) beginSettling();
       isLoaded = true;
@@ -346,6 +349,7 @@
     },
     onChange: (batch) => {
       recordOutageEnd();
+      storeAnsweredAtMs = clock.monotonicMs();
       batch.deletedNames.forEach((id) => heldEntries.delete(id));
       const removedCount = batch.deletedNames.filter(remove).length;
       const appliedCount = batch.changed.filter(applyObject).length;
@@ -423,6 +427,9 @@
       // A list that this daemon has read from the store since then is newer.
       if (isOlder && cursor === undefined) return;
       if (era !== undefined && shared.era !== undefined && shared.era < era) return;
+      // Its entries may be older than those of the last answer, which a watch does not repeat.
+      const isSameEra = shared.era === undefined || shared.era === era;
+      if (isSameEra && sharedAt.monotonicMs < storeAnsweredAtMs) return;
       const { difference } = shared;
       if (difference !== undefined && difference.version !== version) return;
       enterEra(shared.era);
