--- a/packages/formation/src/confirmMembers.ts
+++ b/packages/formation/src/confirmMembers.ts
@@ -1,5 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import * as fleet from '@comfreydrum/fleet';
+import { findObstacle } from './findObstacle';
+import { isServingHead } from './isServingHead';
 import type { TargetOrders } from './TargetOrders';
 
 /** A target whose own report agrees with the list. */
@@ -9,7 +11,7 @@
   readonly orderCount: number | undefined;
 }
 
-/** A target that gave no report, or whose report contradicts the list. */
+/** A target that gave no report, or whose report or whose former head's report contradicts the list. */
 export interface UnconfirmedMember {
   readonly target: fleet.Target;
   readonly reason: string;
@@ -17,12 +19,6 @@
   readonly isSilent: boolean;
 }
 
-/** The head of a group that a target is listed in and that is taken to be over. */
-export interface FormerHead {
-  readonly groupKey: string;
-  readonly target: fleet.Target;
-}
-
 /** The targets of a group to be formed, by whether they may join it. */
 export interface MemberConfirmation {
   readonly confirmed: readonly ConfirmedMember[];
@@ -33,31 +29,11 @@
 /** A report may be a few hundred ms older than the list; a target that contradicts the list is asked again within this time. */
 const reportAttempts = 4;
 const reportRetryMs = 100;
-const servingStates: readonly fleet.MembershipState[] = ['open', 'closing'];
 
-const describe = (membership: fleet.GroupMembership | undefined): string =>
-  membership === undefined
-    ? 'none'
-    : `${fleet.groupKeyOf(membership)} ${membership.rank} ${membership.state}`;
-
-const isServing = (membership: fleet.GroupMembership | undefined): boolean =>
-  membership?.rank === 0 && servingStates.includes(membership.state);
-
-/** Returns why a target may not join a group although the list shows it free, or undefined. */
-const findObstacle = (
-  listed: fleet.GroupMembership | undefined,
-  reported: fleet.GroupMembership | undefined,
-): string | undefined => {
-  const isSame =
-    listed === undefined || reported === undefined
-      ? listed === reported
-      : fleet.groupKeyOf(listed) === fleet.groupKeyOf(reported);
-  if (isSame && !isServing(reported)) return undefined;
-  return `listed group ${describe(listed)}, reported group ${describe(reported)}`;
-};
+type Probe = Pick<TargetOrders, 'probe'>;
 
 const confirmMember = async (
-  orders: Pick<TargetOrders, 'probe'>,
+  orders: Probe,
   target: fleet.Target,
   attemptsLeft = reportAttempts,
 ): Promise<ConfirmedMember | UnconfirmedMember> => {
@@ -74,45 +50,62 @@
   return confirmMember(orders, target, attemptsLeft - 1);
 };
 
-/** Returns the members of groups whose former head reports that it serves them. */
-const findServedMembers = async (
-  orders: Pick<TargetOrders, 'probe'>,
+/** Reports whether the head of a group says that it serves it; one that gives no report is left to the checks of heads. */
+const isHeadServing = async (
+  orders: Probe,
+  groupKey: string,
+  head: fleet.Target,
+  attemptsLeft = reportAttempts,
+): Promise<boolean> => {
+  const report = await orders.probe(head, reportTimeoutMs);
+  if (!report.ok || report.value.startedAtMs !== head.startedAtMs) return false;
+  const { membership } = report.value;
+  if (membership === undefined || fleet.groupKeyOf(membership) !== groupKey) return false;
+  if (!isServingHead(membership) || attemptsLeft <= 1) return isServingHead(membership);
+  await delay(reportRetryMs);
+  return isHeadServing(orders, groupKey, head, attemptsLeft - 1);
+};
+
+/** Returns the groups that the targets are listed in and whose heads, as far as they are known, serve them. */
+const findServedGroups = async (
+  orders: Probe,
   targets: readonly fleet.Target[],
-  formerHeads: readonly FormerHead[],
-): Promise<readonly UnconfirmedMember[]> => {
+  headOf: (groupKey: string) => fleet.Target | undefined,
+): Promise<ReadonlySet<string>> => {
+  const groupKeys = new Set(
+    targets.flatMap(({ membership }) => (membership ? [fleet.groupKeyOf(membership)] : [])),
+  );
   const served = await Promise.all(
-    formerHeads.map(async ({ groupKey, target: head }) => {
-      const report = await orders.probe(head, reportTimeoutMs);
-      const membership = report.ok ? report.value.membership : undefined;
-      if (membership === undefined || !isServing(membership)) return [];
-      if (fleet.groupKeyOf(membership) !== groupKey) return [];
-      return targets
-        .filter((target) => target.membership && fleet.groupKeyOf(target.membership) === groupKey)
-        .map((target) => ({
-          target,
-          reason: `${groupKey} is ${membership.state}`,
-          isSilent: false,
-        }));
+    [...groupKeys].map(async (groupKey) => {
+      const head = headOf(groupKey);
+      if (head === undefined || targets.some(({ id }) => id === head.id)) return [];
+      return (await isHeadServing(orders, groupKey, head)) ? [groupKey] : [];
     }),
   );
-  return served.flat();
+  return new Set(served.flat());
 };
 
 /**
- * Asks the targets of a group to be formed, and the heads of the groups that they were in, for their state, as the list may
- * lack the latest orders to them. A former head that gives no report is left to the list and to the checks of heads.
+ * Asks the targets of a group to be formed for their state, as the list may lack the latest orders to them, and the heads of the
+ * groups that they are listed in whether they serve. `headOf` returns the head of a group by its key, as far as it is known.
  */
 export const confirmMembers = async (
-  orders: Pick<TargetOrders, 'probe'>,
+  orders: Probe,
   targets: readonly fleet.Target[],
-  formerHeads: readonly FormerHead[] = [],
+  headOf: (groupKey: string) => fleet.Target | undefined,
 ): Promise<MemberConfirmation> => {
-  const [results, served] = await Promise.all([
+  const [results, servedGroups] = await Promise.all([
     Promise.all(targets.map((target) => confirmMember(orders, target))),
-    findServedMembers(orders, targets, formerHeads),
+    findServedGroups(orders, targets, headOf),
   ]);
+  const members = results.map((result): ConfirmedMember | UnconfirmedMember => {
+    const { target } = result;
+    const groupKey = target.membership && fleet.groupKeyOf(target.membership);
+    if ('reason' in result || groupKey === undefined || !servedGroups.has(groupKey)) return result;
+    return { target, reason: `the head of its group ${groupKey} serves`, isSilent: false };
+  });
   return {
-    confirmed: results.flatMap((result) => ('reason' in result ? [] : [result])),
-    unconfirmed: [...results.flatMap((result) => ('reason' in result ? [result] : [])), ...served],
+    confirmed: members.flatMap((member) => ('reason' in member ? [] : [member])),
+    unconfirmed: members.flatMap((member) => ('reason' in member ? [member] : [])),
   };
 };
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -6,7 +6,7 @@
 import * as telemetry from '@comfreydrum/telemetry';
 import * as zod from 'zod';
 import type { Lease } from './createLease';
-import { confirmMembers, type FormerHead } from './confirmMembers';
+import { confirmMembers } from './confirmMembers';
 import { toOrderResponse } from './toOrderResponse';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
@@ -226,20 +226,6 @@
     work = noWork;
   };
 
-  /** Returns the heads of the groups that the members are listed in, as far as they are known and no members themselves. */
-  const findFormerHeads = (members: readonly fleet.Target[]): readonly FormerHead[] => {
-    const memberKeys = new Set(members.map(fleet.runKeyOf));
-    const groupKeys = new Set(
-      members.flatMap(({ membership }) => (membership ? [fleet.groupKeyOf(membership)] : [])),
-    );
-    return [...groupKeys].flatMap((groupKey) => {
-      const target = headCheck.headOf(groupKey);
-      return target === undefined || memberKeys.has(fleet.runKeyOf(target))
-        ? []
-        : [{ groupKey, target }];
-    });
-  };
-
   /** Orders the members to join if their own reports confirm that they are free. */
   const formGroup = async (
     { modelName, members }: Extract<FormationStep, { readonly kind: 'form' }>,
@@ -252,11 +238,7 @@
       orderTracker.recordForm(group, members);
     };
     reserve();
-    const { confirmed, unconfirmed } = await confirmMembers(
-      orders,
-      members,
-      findFormerHeads(members),
-    );
+    const { confirmed, unconfirmed } = await confirmMembers(orders, members, headCheck.headOf);
     const state = lease.state();
     const mayAct = state.kind === 'holder' && state.mayAct && state.token === token;
     const lost = members.filter(detector.isLost);
--- a/packages/formation/src/createOrderTracker.test.ts
+++ b/packages/formation/src/createOrderTracker.test.ts
@@ -47,6 +47,28 @@
   assert.ok(tracker.mayBeOpening(group), 'the order to open may arrive after the order to close');
 });
 
+test('considers a head possibly open if it refuses a second order to open', () => {
+  (['accepted', 'unanswered'] as const).forEach((response) => {
+    const tracker = createOrderTracker(clocks.createManualClock());
+    tracker.recordForm(group, members);
+    tracker.recordOpen(group);
+    tracker.recordOpenResponse(group, response);
+    tracker.recordOpen(group);
+    tracker.recordOpenResponse(group, 'refused');
+    assert.ok(tracker.mayBeOpening(group), `the first order was ${response}`);
+  });
+});
+
+test('forbids opening a group while a member is ordered into another one', () => {
+  const tracker = createOrderTracker(clocks.createManualClock());
+  tracker.recordForm(group, members);
+  const other = { key: 'draft.6@6' };
+  tracker.recordForm(other, members.slice(1));
+  assert.not(tracker.mayOpen(group));
+  tracker.recordUnsentForm(other, members.slice(1));
+  assert.ok(tracker.mayOpen(group));
+});
+
 test('reports that a group is being formed until an order fails or times out', () => {
   const clock = clocks.createManualClock();
   const tracker = createOrderTracker(clock);
