Order tracker: an unanswered order to open may arrive after a second one and a close

The members of a group whose head had been opened and closed could be ordered into another group while an earlier order to open, which had gone unanswered, arrived at the head and opened it again.

The answer to the second order replaced the state 'unanswered', so the close ended it. It now stays, and the head has to leave the group before its members are used again.

--- a/packages/formation/src/createOrderTracker.test.ts
+++ b/packages/formation/src/createOrderTracker.test.ts
@@ -59,6 +59,17 @@
   });
 });
 
+test('considers a head possibly opening after its close if an earlier order to open was not answered', () => {
+  const tracker = createOrderTracker(clocks.createManualClock());
+  tracker.recordForm(group, members);
+  (['unanswered', 'accepted'] as const).forEach((response) => {
+    tracker.recordOpen(group);
+    tracker.recordOpenResponse(group, response);
+  });
+  tracker.recordCloseResponse(group, 'accepted');
+  assert.ok(tracker.mayBeOpening(group));
+});
+
 test('forbids opening a group while a member is ordered into another one', () => {
   const tracker = createOrderTracker(clocks.createManualClock());
   tracker.recordForm(group, members);
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -137,6 +137,8 @@
       if (!openStates.has(key)) openStates.set(key, 'ordered');
     },
     recordOpenResponse: ({ key }, response) => {
+      // An earlier order that is unanswered may arrive after this one, and after an order to close.
+      if (openStates.get(key) === 'unanswered') return;
       if (response !== 'refused') {
         openStates.set(key, response === 'accepted' ? 'open' : 'unanswered');
         return;
