--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -122,8 +122,9 @@
   let timer: NodeJS.Timeout | undefined;
   let epochCount = 0;
   let mixToken: number | undefined;
-  let actingSinceMs = -Infinity;
+  /** The token under which this daemon acted last, and the time from which it might. */
   let actingToken: number | undefined;
+  let actingSinceMs = -Infinity;
   let isScheduled = false;
   let lastOrderAtMs = -Infinity;
 
--- a/packages/formation/src/createHeadCheck.ts
+++ b/packages/formation/src/createHeadCheck.ts
@@ -20,8 +20,6 @@
   readonly isGone: (group: fleet.Group) => boolean;
   /** Returns the head of a group as it was first listed. */
   readonly headOf: (groupKey: string) => fleet.Target | undefined;
-  /** Reports whether the process of the head of a group is known to have ended, rather than being out of reach. */
-  readonly hasEnded: (groupKey: string) => boolean;
   /** Reports whether, according to the list, the head has left the group or has restarted. */
   readonly hasLeft: (group: fleet.Group, listed: ReadonlyMap<string, fleet.Target>) => boolean;
 }
@@ -55,6 +53,7 @@
   readonly unreachedSinceMs: number | undefined;
   /** When the last one of them ended. */
   readonly unreachedUntilMs: number;
+  /** Whether the last check showed that the process of the head has ended. */
   readonly hasEnded: boolean;
 }
 
@@ -201,7 +200,7 @@
         listedMsAgo: Math.round(nowMs - (before?.headListedAtMs ?? -Infinity)),
         gone,
       },
-      gone ? 'the head is taken for gone' : 'the head may still serve',
+      gone ? 'the head is considered gone' : 'the head may still serve',
     );
     if (ownFinding === 'reached') options.onReached(target);
     options.onChange();
@@ -280,6 +279,5 @@
       return isHeadGone(key);
     },
     headOf: (groupKey) => heads.get(groupKey)?.target,
-    hasEnded: (groupKey) => heads.get(groupKey)?.hasEnded === true,
   };
 };
--- a/packages/formation/src/createOrderTracker.ts
+++ b/packages/formation/src/createOrderTracker.ts
@@ -88,6 +88,7 @@
   const pendingStagings = new Map<string, PendingOrder & { readonly modelName: string }>();
   const pendingFormations = new Map<string, PendingFormation>();
   const formedKeys = new Set<string>();
+  /** Groups whose heads were ordered to open, whatever became of it. */
   const openedKeys = new Set<string>();
   /** Groups that may be open, or may still be opened by a delayed order. */
   const openStates = new Map<string, 'ordered' | 'open' | 'unanswered'>();
