A head that is listed as ready has closed, whatever an older report says

Cause: reports are a few hundred ms old. A head that has closed is listed as ready at once, and reports that it is closing for a while; its group was asked for again and again, up to 300 ms.

Change: a report of closing doesn't hold back a head that is listed as ready in the same group. Only a head that the controller has seen open, and closed, is listed so when its members are free: one that may still be opened leaves first.

--- a/packages/formation/src/confirmMembers.ts
+++ b/packages/formation/src/confirmMembers.ts
@@ -61,7 +61,8 @@
   if (!report.ok || report.value.startedAtMs !== head.startedAtMs) return false;
   const { membership } = report.value;
   if (membership === undefined || fleet.groupKeyOf(membership) !== groupKey) return false;
-  if (!isServingHead(membership) || attemptsLeft <= 1) return isServingHead(membership);
+  const isServing = isServingHead(head.membership, membership);
+  if (!isServing || attemptsLeft <= 1) return isServing;
   await delay(reportRetryMs);
   return isHeadServing(orders, groupKey, head, attemptsLeft - 1);
 };
@@ -87,7 +88,7 @@
 
 /**
  * Asks the targets of a group to be formed for their state, as the list may lack the latest orders to them, and the heads of the
- * groups that they are listed in whether they serve. `headOf` returns the head of a group by its key, as far as it is known.
+ * groups that they are listed in whether they serve. `headOf` returns the head of a group by its key, as it was last listed.
  */
 export const confirmMembers = async (
   orders: Probe,
--- a/packages/formation/src/createFormation.ts
+++ b/packages/formation/src/createFormation.ts
@@ -227,6 +227,12 @@
     work = noWork;
   };
 
+  /** Returns the head of a group as it was last listed, as far as it is known. */
+  const headOf = (groupKey: string): fleet.Target | undefined => {
+    const head = headCheck.headOf(groupKey);
+    return head && (targets.all().get(head.id) ?? head);
+  };
+
   /** Orders the members to join if their own reports confirm that they are free. */
   const formGroup = async (
     { modelName, members }: Extract<FormationStep, { readonly kind: 'form' }>,
@@ -239,7 +245,7 @@
       orderTracker.recordForm(group, members);
     };
     reserve();
-    const { confirmed, unconfirmed } = await confirmMembers(orders, members, headCheck.headOf);
+    const { confirmed, unconfirmed } = await confirmMembers(orders, members, headOf);
     const state = lease.state();
     const mayAct = state.kind === 'holder' && state.mayAct && state.token === token;
     const lost = members.filter(detector.isLost);
--- a/packages/formation/src/findObstacle.ts
+++ b/packages/formation/src/findObstacle.ts
@@ -15,7 +15,7 @@
     listed === undefined || reported === undefined
       ? listed === reported
       : fleet.groupKeyOf(listed) === fleet.groupKeyOf(reported);
-  const isServing = reported !== undefined && isServingHead(reported);
+  const isServing = reported !== undefined && isServingHead(listed, reported);
   if (isSame && !isServing) return undefined;
   return `listed group ${describe(listed)}, reported group ${describe(reported)}`;
 };
