Simulation of formation: heads are checked for a stall ten times a second

The fabric looked for heads that lack a member every 10 ms of simulated time, and the controller searched a list of all targets for each that was lost.

--- a/packages/formation/src/testing/createFakeFabric.ts
+++ b/packages/formation/src/testing/createFakeFabric.ts
@@ -92,6 +92,7 @@
   /** Returns the number of groups of a model that can serve now. */
   readonly servingCount: (modelName: string) => number;
   readonly aliveIds: () => readonly string[];
+  readonly isAlive: (id: string) => boolean;
   readonly violations: readonly Violation[];
   /** When each load from the weight store began. */
   readonly loadsBegunAtMs: readonly number[];
@@ -107,6 +108,7 @@
 const lagSteps = 4;
 const defaultExpiryMs = 3_600;
 const defaultStallMs = 4_000;
+const stallCheckMs = 100;
 
 /** Creates a fabric without targets. */
 export const createFakeFabric = ({
@@ -245,7 +247,7 @@
       advanceWork(id, 'staging', slowdown);
     });
     nowMs += stepMs;
-    breakHeads();
+    if (nowMs % stallCheckMs === 0) breakHeads();
     snapshots.push({ atMs: nowMs, list: snapshot() });
     while (snapshots.length > 1 && snapshots[1]!.atMs <= nowMs - listLagMs * lagSteps)
       snapshots.shift();
@@ -430,6 +432,7 @@
           target.loaded[0] === modelName &&
           isWhole(target),
       ).length,
+    isAlive: (id) => targets.get(id)?.alive === true,
     aliveIds: () => [...targets.values()].filter(({ alive }) => alive).map(({ id }) => id),
     violations,
     loadsBegunAtMs,
--- a/packages/formation/src/testing/simulateController.ts
+++ b/packages/formation/src/testing/simulateController.ts
@@ -114,7 +114,7 @@
     return fabric.nowMs() - sinceMs;
   };
 
-  const hasEnded = (id: string) => !fabric.aliveIds().includes(id);
+  const hasEnded = (id: string) => !fabric.isAlive(id);
 
   const isLost = ({ id }: Pick<fleet.Target, 'id'>): boolean => unreachedMsOf(id) >= detectionMs;
 
