--- a/packages/formation/src/confirmMembers.test.ts
+++ b/packages/formation/src/confirmMembers.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { confirmMembers } from './confirmMembers';
+import { reportOf } from './testing/reportOf';
 import type { ProbeFailure, TargetOrders, TargetReport } from './TargetOrders';
 
 const test = uvu.suite('confirmation of the members of a group to be formed');
@@ -36,16 +37,7 @@
             message: 'silent',
           });
         }
-        return errors.ok({
-          targetId: id,
-          startedAtMs: 1,
-          paceFactor: 1,
-          activeRequests: 0,
-          queuedRequests: 0,
-          membership: undefined,
-          orderCount: 3,
-          ...report,
-        });
+        return errors.ok(reportOf(id, { orderCount: 3, ...report }));
       },
     },
     [target],
@@ -114,16 +106,9 @@
     const probe: TargetOrders['probe'] = async ({ id }) =>
       id === head.id && headReport === undefined
         ? errors.err<ProbeFailure>({ kind: 'silent', step: 'probe', peer: id, message: 'silent' })
-        : errors.ok({
-            targetId: id,
-            startedAtMs: 1,
-            paceFactor: 1,
-            activeRequests: 0,
-            queuedRequests: 0,
-            membership: m1.membership,
-            orderCount: 3,
-            ...(id === head.id ? headReport : {}),
-          });
+        : errors.ok(
+            reportOf(id, { membership: m1.membership, ...(id === head.id ? headReport : {}) }),
+          );
     const { confirmed } = await confirmMembers({ probe }, [m1], (groupKey) =>
       groupKey === fleet.groupKeyOf(m1.membership!) ? head : undefined,
     );
--- a/packages/formation/src/createFormation.test.ts
+++ b/packages/formation/src/createFormation.test.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert';
 import * as uvu from 'uvu';
 import { createFormation } from './createFormation';
+import { reportOf } from './testing/reportOf';
 import type { JoinOrder, TargetOrders, TargetReport } from './TargetOrders';
 
 const test = uvu.suite('formation of groups by the controller');
@@ -46,7 +47,7 @@
 
 /** Lets a controller whose list shows two free targets act for a while; returns the joins that it orders. */
 const collectJoins = async (
-  reportOf: (id: string) => Partial<TargetReport>,
+  changesOf: (id: string) => Partial<TargetReport>,
   listAgeMs = 0,
   actsAfterMs = 0,
 ) => {
@@ -64,17 +65,7 @@
     close: unused,
     leave: unused,
     stage: unused,
-    probe: async ({ id }) =>
-      errors.ok({
-        targetId: id,
-        startedAtMs: 1,
-        paceFactor: 1,
-        activeRequests: 0,
-        queuedRequests: 0,
-        membership: undefined,
-        orderCount: 0,
-        ...reportOf(id),
-      }),
+    probe: async ({ id }) => errors.ok(reportOf(id, changesOf(id))),
   };
   const list = {
     all: () => targets,
--- a/packages/formation/src/lossDetection.test.ts
+++ b/packages/formation/src/lossDetection.test.ts
@@ -7,6 +7,7 @@
 import * as uvu from 'uvu';
 import { createHeadCheck } from './createHeadCheck';
 import { createLossDetector } from './createLossDetector';
+import { reportOf } from './testing/reportOf';
 import type { ProbeFailure, TargetOrders } from './TargetOrders';
 
 const test = uvu.suite('detection of lost targets');
@@ -34,15 +35,7 @@
     if (kind === 'silent' || kind === 'refused') {
       return errors.err<ProbeFailure>({ kind, step: 'probe', peer: id, message: kind });
     }
-    return errors.ok({
-      targetId: id,
-      startedAtMs: kind === 'lives' ? 1 : 2,
-      paceFactor: 1,
-      activeRequests: 0,
-      queuedRequests: 0,
-      membership: undefined,
-      orderCount: undefined,
-    });
+    return errors.ok(reportOf(id, { startedAtMs: kind === 'lives' ? 1 : 2 }));
   },
 });
 
